--- /dev/null
+++ b/include/basilhoist/link/frame_link.h
@@ -0,0 +1,87 @@
+// Framed messages over TCP between two instances.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "basilhoist/link/messages.h"
+#include "basilhoist/loop/event_loop.h"
+
+namespace basilhoist {
+
+/// An IP number and port.
+struct endpoint {
+  std::string address;
+  std::uint16_t port = 0;
+
+  auto operator<=>(const endpoint&) const = default;
+};
+
+/// @return "address:port"
+std::string Format(const endpoint& value);
+
+/// @return the endpoint, or port 0 if the text is not "IP:port"
+endpoint ParseEndpoint(std::string_view text);
+
+/// One connected socket that carries frames both ways.
+class frame_link : public std::enable_shared_from_this<frame_link> {
+ public:
+  using frame_handler = std::function<void(frame_kind, std::string_view)>;
+
+  /// @param loop the loop; must outlive the link
+  /// @param fd a socket, connected or connecting; owned from here on
+  frame_link(event_loop& loop, int fd);
+  ~frame_link();
+  frame_link(const frame_link&) = delete;
+  frame_link& operator=(const frame_link&) = delete;
+
+  /// Starts reading.
+  /// @param on_frame called for each whole frame
+  /// @param on_closed called once, when the link breaks
+  void Open(frame_handler on_frame, std::function<void()> on_closed);
+
+  /// Sends a frame; dropped when the link is closed.
+  void Send(frame_kind kind, const std::string& payload);
+
+  /// Delays what is sent from now on, to stand for distance in experiments.
+  void SetDelay(microseconds delay);
+
+  /// Closes the socket; on_closed does not run.
+  void Close();
+
+  [[nodiscard]] bool IsOpen() const;
+
+ private:
+  struct state;
+  std::unique_ptr<state> state_;
+};
+
+/// Starts to connect to a peer.
+/// @param from the IP number to send from
+/// @return a socket, or -1
+int ConnectSocket(const std::string& from, const endpoint& to);
+
+/// Listens for links of peers.
+class link_listener {
+ public:
+  using accept_handler = std::function<void(std::shared_ptr<frame_link>)>;
+
+  link_listener(event_loop& loop, const endpoint& where,
+                accept_handler on_link);
+  ~link_listener();
+  link_listener(const link_listener&) = delete;
+  link_listener& operator=(const link_listener&) = delete;
+
+  [[nodiscard]] bool Listening() const { return fd_ >= 0; }
+
+ private:
+  event_loop& loop_;
+  accept_handler on_link_;
+  int fd_ = -1;
+  fd_watch watch_;
+};
+
+}  // namespace basilhoist
--- /dev/null
+++ b/include/basilhoist/link/messages.h
@@ -0,0 +1,156 @@
+// Messages between instances. Encoded by cereal; the frame carries the kind.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "basilhoist/base/verdict.h"
+
+namespace basilhoist {
+
+/// What a frame between two instances holds.
+enum class frame_kind : std::uint8_t {
+  kHello = 1,
+  kSubrequests = 2,
+  kSubreplies = 3,
+  kCancels = 4,
+  kHeartbeat = 5,
+  kDocument = 6,
+  kCrashReport = 7,
+};
+
+/// What a caller asks for.
+enum class operation : std::uint8_t {
+  kQuery,   ///< Every shard of a service group.
+  kLookup,  ///< One record, from the shard that holds its key.
+  kOnce,    ///< A request that may not be repeated.
+};
+
+/// First frame on a link: who connects.
+struct hello {
+  std::string name;
+  std::string failure_domain;
+  std::string link_address;  ///< "IP:port" where it takes links.
+  std::string ops_address;   ///< "IP:port" where it takes operators.
+  std::uint64_t incarnation = 0;
+
+  bool operator==(const hello&) const = default;
+};
+
+/// What several sub-requests of one batch have in common.
+struct request_payload {
+  std::string request_id;
+  operation kind = operation::kQuery;
+  std::uint64_t fingerprint = 0;  ///< Hash of the body; equal when repeated.
+  std::string body;
+
+  bool operator==(const request_payload&) const = default;
+};
+
+/// One piece of work for one backend server.
+struct subrequest {
+  std::uint64_t id = 0;  ///< Chosen by the entry; echoed in the reply.
+  std::string server;
+  std::string shard;
+  std::uint64_t version = 0;      ///< The pinned index version.
+  std::int64_t time_left_us = 0;  ///< Until its deadline, when sent.
+  std::uint32_t payload = 0;      ///< Index into the batch's payloads.
+  bool second_attempt = false;
+
+  bool operator==(const subrequest&) const = default;
+};
+
+/// Work from one entry for one owner.
+struct subrequest_batch {
+  std::vector<request_payload> payloads;
+  std::vector<subrequest> items;
+
+  bool operator==(const subrequest_batch&) const = default;
+};
+
+/// How full a backend server is, as its owner sees it.
+struct server_load {
+  std::uint32_t in_flight = 0;
+  std::uint32_t queued = 0;
+  std::uint32_t window = 0;  ///< Requests it may have in flight now.
+
+  bool operator==(const server_load&) const = default;
+};
+
+/// What became of one sub-request.
+struct subreply {
+  std::uint64_t id = 0;
+  verdict outcome = verdict::kNotRun;
+  reason why = reason::kNone;
+  std::uint32_t retry_after_ms = 0;
+  std::string shard;                 ///< As echoed by the backend server.
+  std::uint64_t version = 0;         ///< As echoed by the backend server.
+  std::uint64_t oldest_version = 0;  ///< Oldest it serves; 0 if unknown.
+  std::uint64_t newest_version = 0;  ///< Newest it serves; 0 if unknown.
+  std::uint32_t queue_wait_us = 0;   ///< Time spent in the owner's queue.
+  std::string body;
+  server_load load;
+
+  bool operator==(const subreply&) const = default;
+};
+
+/// Replies from one owner to one entry.
+struct subreply_batch {
+  std::vector<subreply> items;
+
+  bool operator==(const subreply_batch&) const = default;
+};
+
+/// Sub-requests that the entry no longer needs.
+struct cancel_batch {
+  std::vector<std::uint64_t> ids;
+
+  bool operator==(const cancel_batch&) const = default;
+};
+
+/// A document as passed from member to member: the highest version wins.
+struct document {
+  std::string name;
+  std::uint64_t version = 0;
+  std::string content;  ///< JSON.
+
+  bool operator==(const document&) const = default;
+};
+
+/// Name and version of a document that a member holds.
+struct document_version {
+  std::string name;
+  std::uint64_t version = 0;
+
+  bool operator==(const document_version&) const = default;
+};
+
+/// A member's sign of life, and its acknowledgement of the peer's.
+struct heartbeat {
+  std::string from;
+  std::uint64_t incarnation = 0;
+  std::uint64_t epoch = 0;      ///< Epoch of the member view it acts in.
+  std::int64_t sent_at_us = 0;  ///< On the sender's clock.
+  std::int64_t echo_us = 0;     ///< Newest `sent_at_us` heard from the peer, or
+                                ///< zero when the sender grants it no lease.
+  bool retired = false;         ///< It holds no backend server any more.
+  bool ready = false;           ///< It takes requests from callers.
+  std::vector<std::string> fenced;           ///< In `epoch`.
+  std::vector<std::string> previous_fenced;  ///< When it left epoch - 1.
+  std::vector<std::string> released;         ///< Servers handed over.
+  std::vector<document_version> documents;
+
+  bool operator==(const heartbeat&) const = default;
+};
+
+/// A backend server died while it ran a request with this fingerprint.
+struct crash_report {
+  std::uint64_t fingerprint = 0;
+  std::string server;
+  std::uint64_t report_id = 0;
+
+  bool operator==(const crash_report&) const = default;
+};
+
+}  // namespace basilhoist
--- /dev/null
+++ b/include/basilhoist/member/member_task.h
@@ -0,0 +1,99 @@
+// Keeps this instance a member: heartbeats, fences, and proposals of views.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "basilhoist/document/document_table.h"
+#include "basilhoist/document/store_client.h"
+#include "basilhoist/member/ownership.h"
+#include "basilhoist/member/peer_mesh.h"
+
+namespace basilhoist {
+
+/// How the member task is set up.
+struct member_options {
+  std::string site;
+  ownership_options spans;
+  microseconds heartbeat_period = milliseconds(250);
+};
+
+/// What a member knows of another instance from its heartbeats.
+struct known_instance {
+  member who;
+  instant heard_at;
+  bool ready = false;
+  bool retired = false;
+};
+
+/// Runs ownership over the mesh and the store.
+class member_task {
+ public:
+  member_task(event_loop& loop, peer_mesh& mesh, store_client& store,
+              document_table& documents, member self, member_options options);
+
+  /// Starts heartbeats and proposals.
+  void Start();
+
+  /// The link to a peer stands.
+  void OnPeer(const member& peer);
+
+  void OnHeartbeat(const frame_source& source, const heartbeat& beat);
+  void OnDocument(const document& arrived);
+
+  /// A document has changed here; the view is taken over.
+  void OnChange(const document& changed);
+
+  /// Tells peers whether this instance takes requests.
+  void SetReady(bool ready) { ready_ = ready; }
+
+  /// Gives up all servers; peers hear of it at once.
+  void Retire();
+
+  /// Hands a server over that went to another owner and that nothing of ours
+  /// runs on.
+  void Release(const std::string& server);
+
+  /// @return whether this instance should watch the store for all others
+  [[nodiscard]] bool IsWatcher() const;
+
+  /// @return whether a view was proposed lately but not yet decided
+  [[nodiscard]] const std::map<std::string, known_instance>& Known() const {
+    return known_;
+  }
+
+  ownership& Owners() { return ownership_; }
+  [[nodiscard]] const ownership& Owners() const { return ownership_; }
+
+ private:
+  void SendHeartbeats();
+  void PostHeartbeats();
+  void Tick();
+  void Propose();
+  void WriteView(const member_view& proposed, std::uint64_t revision);
+  void ReadInstances();
+  [[nodiscard]] bool MayPropose() const;
+  [[nodiscard]] std::optional<member_view> NextView() const;
+  [[nodiscard]] bool HeardLately(const std::string& name) const;
+
+  event_loop& loop_;
+  peer_mesh& mesh_;
+  store_client& store_;
+  document_table& documents_;
+  member_options options_;
+  ownership ownership_;
+  std::map<std::string, known_instance> known_;
+  std::set<std::string> listed_;  // by the platform, at some time
+  std::optional<member_view> wanted_;
+  instant wanted_since_;
+  instant started_;
+  bool proposing_ = false;
+  bool heartbeat_posted_ = false;
+  bool ready_ = false;
+  bool retired_ = false;
+};
+
+}  // namespace basilhoist
--- /dev/null
+++ b/src/link/frame_link.cc
@@ -0,0 +1,234 @@
+#include "basilhoist/link/frame_link.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <utility>
+
+namespace basilhoist {
+namespace {
+
+constexpr std::size_t kHeaderBytes = 5;
+constexpr std::size_t kMaxFrameBytes = 16U << 20U;
+constexpr std::size_t kReadBytes = 64U << 10U;
+// A peer that takes nothing for so long that this much piles up is cut off.
+constexpr std::size_t kMaxUnsentBytes = 64U << 20U;
+constexpr int kListenBacklog = 512;
+
+sockaddr_in ToSocketAddress(const endpoint& value) {
+  sockaddr_in result{};
+  result.sin_family = AF_INET;
+  result.sin_port = htons(value.port);
+  inet_pton(AF_INET, value.address.c_str(), &result.sin_addr);
+  return result;
+}
+
+void SetNoDelay(int fd) {
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+}  // namespace
+
+std::string Format(const endpoint& value) {
+  return value.address + ":" + std::to_string(value.port);
+}
+
+endpoint ParseEndpoint(std::string_view text) {
+  const auto colon = text.rfind(':');
+  if (colon == std::string_view::npos) return {};
+  endpoint result{std::string(text.substr(0, colon)), 0};
+  const std::string_view digits = text.substr(colon + 1);
+  const char* end = digits.data() + digits.size();
+  const auto parsed = std::from_chars(digits.data(), end, result.port);
+  in_addr unused{};
+  const bool valid = inet_pton(AF_INET, result.address.c_str(), &unused) == 1 &&
+                     parsed.ec == std::errc() && parsed.ptr == end;
+  return valid ? result : endpoint{};
+}
+
+struct frame_link::state {
+  event_loop& loop;
+  int fd;
+  fd_watch watch;
+  frame_handler on_frame;
+  std::function<void()> on_closed;
+  std::string input;
+  std::string output;
+  microseconds delay{0};
+  bool flush_posted = false;
+
+  state(event_loop& the_loop, int the_fd, frame_link* self)
+      : loop(the_loop), fd(the_fd), watch(the_loop, [self](bool r, bool w) {
+          const auto kept = self->shared_from_this();
+          if (w) kept->state_->Flush();
+          if (r) kept->state_->Read();
+        }) {}
+
+  void Fail() {
+    if (fd < 0) return;
+    Shut();
+    if (on_closed) on_closed();
+  }
+
+  void Shut() {
+    watch.Set(-1, false, false);
+    if (fd >= 0) close(fd);
+    fd = -1;
+  }
+
+  void Flush() {
+    while (fd >= 0 && !output.empty()) {
+      const auto sent = send(fd, output.data(), output.size(), MSG_NOSIGNAL);
+      if (sent < 0) break;
+      output.erase(0, static_cast<std::size_t>(sent));
+    }
+    if (fd < 0) return;
+    const bool blocked = output.empty() || errno == EAGAIN || errno == ENOTCONN;
+    if (!blocked || output.size() > kMaxUnsentBytes) {
+      Fail();
+      return;
+    }
+    watch.Set(fd, true, !output.empty());
+  }
+
+  void Read() {
+    std::array<char, kReadBytes> chunk{};
+    while (fd >= 0) {
+      const auto got = recv(fd, chunk.data(), chunk.size(), 0);
+      if (got > 0) {
+        input.append(chunk.data(), static_cast<std::size_t>(got));
+        if (static_cast<std::size_t>(got) < chunk.size()) break;
+        continue;
+      }
+      if (got < 0 && errno == EAGAIN) break;
+      Fail();
+      return;
+    }
+    Deliver();
+  }
+
+  void Deliver() {
+    std::size_t used = 0;
+    while (fd >= 0 && input.size() - used >= kHeaderBytes) {
+      std::uint32_t size = 0;
+      std::memcpy(&size, input.data() + used, sizeof size);
+      size = ntohl(size);
+      if (size > kMaxFrameBytes) {
+        Fail();
+        return;
+      }
+      if (input.size() - used < kHeaderBytes + size) break;
+      const auto kind = static_cast<frame_kind>(input[used + 4]);
+      const std::string_view bytes(input);
+      on_frame(kind, bytes.substr(used + kHeaderBytes, size));
+      used += kHeaderBytes + size;
+    }
+    input.erase(0, used);
+  }
+
+  void Append(const std::string& bytes) {
+    if (fd < 0) return;
+    output += bytes;
+  }
+};
+
+frame_link::frame_link(event_loop& loop, int fd)
+    : state_(std::make_unique<state>(loop, fd, this)) {
+  SetNoDelay(fd);
+}
+
+frame_link::~frame_link() { state_->Shut(); }
+
+void frame_link::Open(frame_handler on_frame, std::function<void()> on_closed) {
+  state_->on_frame = std::move(on_frame);
+  state_->on_closed = std::move(on_closed);
+  state_->watch.Set(state_->fd, true, true);
+}
+
+void frame_link::Send(frame_kind kind, const std::string& payload) {
+  if (state_->fd < 0) return;
+  const std::uint32_t size = htonl(static_cast<std::uint32_t>(payload.size()));
+  std::string frame(kHeaderBytes, '\0');
+  std::memcpy(frame.data(), &size, sizeof size);
+  frame[4] = static_cast<char>(kind);
+  frame += payload;
+  const auto append = [self = shared_from_this()](const std::string& bytes) {
+    self->state_->Append(bytes);
+    // Frames of one turn leave in one write.
+    if (self->state_->flush_posted) return;
+    self->state_->flush_posted = true;
+    self->state_->loop.Post([self] {
+      self->state_->flush_posted = false;
+      self->state_->Flush();
+    });
+  };
+  if (state_->delay.count() == 0) {
+    append(frame);
+    return;
+  }
+  state_->loop.After(state_->delay,
+                     [append, frame = std::move(frame)] { append(frame); });
+}
+
+void frame_link::SetDelay(microseconds delay) { state_->delay = delay; }
+
+void frame_link::Close() { state_->Shut(); }
+
+bool frame_link::IsOpen() const { return state_->fd >= 0; }
+
+int ConnectSocket(const std::string& from, const endpoint& to) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const sockaddr_in local = ToSocketAddress({from, 0});
+  if (bind(fd, reinterpret_cast<const sockaddr*>(&local), sizeof local) != 0) {
+    close(fd);
+    return -1;
+  }
+  const sockaddr_in remote = ToSocketAddress(to);
+  const int failed =
+      connect(fd, reinterpret_cast<const sockaddr*>(&remote), sizeof remote);
+  if (failed != 0 && errno != EINPROGRESS) {
+    close(fd);
+    return -1;
+  }
+  return fd;
+}
+
+link_listener::link_listener(event_loop& loop, const endpoint& where,
+                             accept_handler on_link)
+    : loop_(loop),
+      on_link_(std::move(on_link)),
+      watch_(loop, [this](bool, bool) {
+        while (true) {
+          const int fd =
+              accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+          if (fd < 0) return;
+          on_link_(std::make_shared<frame_link>(loop_, fd));
+        }
+      }) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  const sockaddr_in local = ToSocketAddress(where);
+  if (bind(fd, reinterpret_cast<const sockaddr*>(&local), sizeof local) != 0 ||
+      listen(fd, kListenBacklog) != 0) {
+    close(fd);
+    return;
+  }
+  fd_ = fd;
+  watch_.Set(fd_, true, false);
+}
+
+link_listener::~link_listener() {
+  watch_.Set(-1, false, false);
+  if (fd_ >= 0) close(fd_);
+}
+
+}  // namespace basilhoist
--- /dev/null
+++ b/src/member/member_task.cc
@@ -0,0 +1,266 @@
+#include "basilhoist/member/member_task.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "basilhoist/link/codec.h"
+#include "basilhoist/ops/log.h"
+
+namespace basilhoist {
+namespace {
+
+constexpr microseconds kTickPeriod = milliseconds(100);
+// A change of members is proposed only when it was wanted for this long, so
+// that instances which start together cause one view and not many.
+constexpr microseconds kSettleTime = milliseconds(300);
+constexpr microseconds kListPeriod = milliseconds(2000);
+// A process that is no member proposes only if it heard no member for so long.
+constexpr microseconds kOrphanTime = milliseconds(3000);
+constexpr std::size_t kWatchers = 2;
+
+bool SameMembers(const member_view& a, const member_view& b) {
+  return a.epoch == b.epoch && a.members == b.members;
+}
+
+}  // namespace
+
+member_task::member_task(event_loop& loop, peer_mesh& mesh, store_client& store,
+                         document_table& documents, member self,
+                         member_options options)
+    : loop_(loop),
+      mesh_(mesh),
+      store_(store),
+      documents_(documents),
+      options_(std::move(options)),
+      ownership_(std::move(self), options_.spans) {}
+
+void member_task::Start() {
+  started_ = Now();
+  loop_.Every(options_.heartbeat_period, [this] { SendHeartbeats(); });
+  loop_.Every(kTickPeriod, [this] { Tick(); });
+  loop_.Every(kListPeriod, [this] { ReadInstances(); });
+  ReadInstances();
+}
+
+void member_task::OnPeer(const member& peer) {
+  known_instance& known = known_[peer.name];
+  const bool restarted = known.who.incarnation != 0 &&
+                         known.who.incarnation != peer.incarnation &&
+                         known.who.link == peer.link;
+  // A later process listens where the earlier one did: that one has ended.
+  if (restarted) ownership_.OnEnded(known.who, Now());
+  const member* in_view = ownership_.View().Find(peer.name);
+  if (in_view != nullptr && in_view->incarnation != peer.incarnation &&
+      in_view->link == peer.link) {
+    ownership_.OnEnded(*in_view, Now());
+  }
+  if (restarted || known.who.incarnation == 0) known.retired = false;
+  known.who = peer;
+  known.heard_at = Now();
+  PostHeartbeats();
+}
+
+void member_task::OnHeartbeat(const frame_source& source,
+                              const heartbeat& beat) {
+  const instant now = Now();
+  known_instance& known = known_[beat.from];
+  known.heard_at = now;
+  known.ready = beat.ready;
+  known.retired = beat.retired;
+  ownership_.OnHeartbeat(beat, now);
+  const auto link = source.link.lock();
+  if (!link) return;
+  for (const auto& each : documents_.NewerThan(beat.documents)) {
+    mesh_.Send(beat.from, frame_kind::kDocument, Encode(each));
+  }
+}
+
+void member_task::OnDocument(const document& arrived) {
+  documents_.Offer(arrived);
+}
+
+void member_task::OnChange(const document& changed) {
+  PostHeartbeats();
+  if (changed.name != kViewDocument) return;
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(view, ParseMemberView(changed.content));
+        ownership_.OnView(view, Now());
+        LogOf("member")->info("View {} has {} members.", view.epoch,
+                              view.members.size());
+        for (const auto& each : view.members) mesh_.Know(each.link);
+        return {};
+      },
+      [](const error_detail& detail) {
+        LogOf("member")->error("A view cannot be read: {}", detail.text);
+      },
+      [] { LogOf("member")->error("A view cannot be read."); });
+}
+
+void member_task::PostHeartbeats() {
+  if (heartbeat_posted_) return;
+  heartbeat_posted_ = true;
+  loop_.Post([this] {
+    heartbeat_posted_ = false;
+    SendHeartbeats();
+  });
+}
+
+void member_task::SendHeartbeats() {
+  const instant now = Now();
+  for (const auto& name : mesh_.Linked()) {
+    heartbeat beat = ownership_.MakeHeartbeat(name, now);
+    beat.ready = ready_;
+    beat.documents = documents_.Versions();
+    mesh_.Send(name, frame_kind::kHeartbeat, Encode(beat));
+  }
+}
+
+void member_task::Tick() {
+  ownership_.OnTime(Now());
+  Propose();
+}
+
+void member_task::Retire() {
+  retired_ = true;
+  ownership_.Retire();
+  SendHeartbeats();
+}
+
+void member_task::Release(const std::string& server) {
+  ownership_.Release(server);
+  PostHeartbeats();
+}
+
+bool member_task::HeardLately(const std::string& name) const {
+  if (name == ownership_.Self().name) return true;
+  const auto found = known_.find(name);
+  return found != known_.end() &&
+         Now() - found->second.heard_at < options_.spans.silence;
+}
+
+// The first member in the order of names that is alive proposes. Two that
+// both take themselves for the first are told apart by the store.
+bool member_task::MayPropose() const {
+  const member_view& view = ownership_.View();
+  if (retired_ || proposing_) return false;
+  if (view.epoch == 0) return Now() - started_ > kSettleTime;
+  if (!ownership_.Settled()) return false;
+  const auto out = ownership_.Out();
+  for (const auto& each : view.members) {
+    if (each.name == ownership_.Self().name) return ownership_.IsMember();
+    if (!out.contains(each.name) && HeardLately(each.name)) return false;
+  }
+  return Now() - started_ > kOrphanTime;
+}
+
+std::optional<member_view> member_task::NextView() const {
+  const member_view& view = ownership_.View();
+  const auto out = ownership_.Out();
+  member_view next{.epoch = view.epoch + 1, .previous = view.members};
+  next.members.push_back(ownership_.Self());
+  for (const auto& [name, known] : known_) {
+    const bool alive = HeardLately(name) && !known.retired;
+    if (alive && known.who.incarnation != 0) next.members.push_back(known.who);
+  }
+  // A member that is silent but not yet fenced keeps its place.
+  for (const auto& each : view.members) {
+    const bool listed = std::any_of(
+        next.members.begin(), next.members.end(),
+        [&](const member& other) { return other.name == each.name; });
+    if (!listed && !out.contains(each.name)) next.members.push_back(each);
+  }
+  std::sort(next.members.begin(), next.members.end());
+  const bool fenced_alive =
+      std::any_of(next.members.begin(), next.members.end(),
+                  [&](const member& each) { return out.contains(each.name); });
+  if (next.members == view.members && !fenced_alive) return std::nullopt;
+  return next;
+}
+
+void member_task::Propose() {
+  if (!MayPropose()) return;
+  const auto next = NextView();
+  if (!next) {
+    wanted_.reset();
+    return;
+  }
+  const instant now = Now();
+  if (!wanted_ || !SameMembers(*wanted_, *next)) {
+    wanted_ = next;
+    wanted_since_ = now;
+    return;
+  }
+  if (now - wanted_since_ < kSettleTime) return;
+  proposing_ = true;
+  const std::string key = options_.site + ".doc." + kViewDocument;
+  store_.Get(key, [this, next = *next](const store_reply& reply) {
+    const bool found =
+        reply.outcome == store_outcome::kOk && !reply.objects.empty();
+    if (!found && reply.outcome != store_outcome::kMissing) {
+      proposing_ = false;
+      return;
+    }
+    if (!found) {
+      WriteView(next, 0);
+      return;
+    }
+    const auto& object = reply.objects.front();
+    const document stored{kViewDocument, ContentVersion(object.content),
+                          object.content};
+    // A store that came back with an older view loses to what members hold.
+    if (stored.version < next.epoch && !documents_.Offer(stored)) {
+      WriteView(next, object.revision);
+      return;
+    }
+    documents_.Offer(stored);
+    proposing_ = false;
+  });
+}
+
+void member_task::WriteView(const member_view& proposed,
+                            std::uint64_t revision) {
+  const std::string text = FormatMemberView(proposed);
+  store_.Put(options_.site + ".doc." + kViewDocument, revision, text,
+             [this, epoch = proposed.epoch, text](const store_reply& reply) {
+               proposing_ = false;
+               wanted_.reset();
+               // A write whose answer was lost is found by the next reading.
+               if (reply.outcome != store_outcome::kOk) return;
+               documents_.Offer({kViewDocument, epoch, text});
+             });
+}
+
+void member_task::ReadInstances() {
+  store_.ListInstances([this](const instance_list& list) {
+    if (!list.known) return;
+    std::set<std::string> present;
+    for (const auto& each : list.instances) {
+      present.insert(each.name);
+      listed_.insert(each.name);
+      mesh_.Know(ParseEndpoint(each.link_address));
+    }
+    // One that was listed and is no more has ended.
+    const member_view view = ownership_.View();
+    const auto check = [&](const member& each) {
+      if (!listed_.contains(each.name) || present.contains(each.name)) return;
+      ownership_.OnEnded(each, Now());
+    };
+    std::for_each(view.members.begin(), view.members.end(), check);
+    std::for_each(view.previous.begin(), view.previous.end(), check);
+  });
+}
+
+bool member_task::IsWatcher() const {
+  const member_view& view = ownership_.View();
+  const auto out = ownership_.Out();
+  std::size_t before = 0;
+  for (const auto& each : view.members) {
+    if (each.name == ownership_.Self().name) return before < kWatchers;
+    if (!out.contains(each.name) && HeardLately(each.name)) ++before;
+  }
+  // Not a member: watch until there is a view to hear from.
+  return view.epoch == 0 || mesh_.Linked().empty();
+}
+
+}  // namespace basilhoist
