--- /dev/null
+++ b/scripts/bench.py
@@ -0,0 +1,34 @@
+"""Runs one measurement; see scripts/bench."""
+
+import argparse
+import json
+import tempfile
+
+import bench_query
+
+BENCHES = {
+    "query": bench_query.run,
+}
+
+
+def main():
+    parser = argparse.ArgumentParser(prog="scripts/bench")
+    parser.add_argument("name", nargs="?", choices=sorted(BENCHES))
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--json")
+    arguments = parser.parse_args()
+    if not arguments.name:
+        print("\n".join(sorted(BENCHES)))
+        return
+    with tempfile.TemporaryDirectory() as logs:
+        figures = BENCHES[arguments.name](logs, arguments.seed)
+    for name, (value, unit) in figures.items():
+        print(f"{name} {value:.6g} {unit}")
+    if arguments.json:
+        with open(arguments.json, "w", encoding="utf-8") as file:
+            json.dump({name: value for name, (value, _) in figures.items()},
+                      file)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/settings/settings_reader.cc
+++ b/src/settings/settings_reader.cc
@@ -5,7 +5,7 @@
 namespace basilhoist::internal {
 namespace {
 
-const nlohmann::json empty_object = nlohmann::json::object();
+const nlohmann::json kEmptyObject = nlohmann::json::object();
 
 // The unit is the end of a key's name. A key with a known stem and another
 // unit is the commonest slip, so it is named.
@@ -66,7 +66,7 @@
   }
   Fault(key, "an object is needed here");
   settings_reader child = *this;
-  child.value_ = &empty_object;
+  child.value_ = &kEmptyObject;
   child.pointer_ = pointer_ + "/" + key;
   return child;
 }
