Second attempts may queue briefly; their refusal says nothing of load

Cause: at 60% load both slots of a server are taken about half the time, and the gate refused every second attempt that found no free slot; each such refusal also lowered the admission limit, so 4.4% of queries were refused. Ruled out: the limit's start of 8 (2.5 queries per group and instance are in flight on average). Change: second attempts are refused when the window is not open or more wait than there are slots; only first attempts' refusals count for admission.

--- a/include/basilhoist/entry/query_run.h
+++ b/include/basilhoist/entry/query_run.h
@@ -135,7 +135,7 @@
               instant now, query_step& step);
   void TrySecond(std::size_t part_index, instant now, query_step& step);
   void Retry(std::size_t part_index, instant now, query_step& step);
-  void OnFailure(std::size_t part_index, const subreply& reply, instant now,
+  void OnFailure(const attempt& from, const subreply& reply, instant now,
                  query_step& step);
   void OnVersionGone(std::size_t part_index, instant now, query_step& step);
   void Accept(std::size_t part_index, const subreply& reply,
--- a/src/entry/query_run.cc
+++ b/src/entry/query_run.cc
@@ -139,7 +139,7 @@
   if (reply.outcome == verdict::kDone && matches) {
     Accept(from.part, reply, from, now, step);
   } else {
-    OnFailure(from.part, reply, now, step);
+    OnFailure(from, reply, now, step);
   }
   return Finish(std::move(step), now);
 }
@@ -174,13 +174,16 @@
   parts_[part_index].open = 0;
 }
 
-void query_run::OnFailure(std::size_t part_index, const subreply& reply,
+void query_run::OnFailure(const attempt& from, const subreply& reply,
                           instant now, query_step& step) {
+  const std::size_t part_index = from.part;
   part& current = parts_[part_index];
   outcome_ = Combine(outcome_, reply.outcome);
   current.last_reason =
       reply.why == reason::kNone ? reason::kServerFailed : reply.why;
-  if (IsRoomRefusal(reply.why)) answer_.refused_for_room = true;
+  if (IsRoomRefusal(reply.why) && !from.second) {
+    answer_.refused_for_room = true;
+  }
   retry_after_ms_ = reply.retry_after_ms;
   if (reply.why == reason::kVersionGone && current.open == 0) {
     OnVersionGone(part_index, now, step);
@@ -217,7 +220,7 @@
   subreply reply;
   reply.outcome = outcome;
   reply.why = reason::kLinkFailed;
-  OnFailure(from.part, reply, now, step);
+  OnFailure(from, reply, now, step);
   return Finish(std::move(step), now);
 }
 
--- a/src/owner/server_gate.cc
+++ b/src/owner/server_gate.cc
@@ -51,8 +51,9 @@
       std::max(ExpectedWait(), closed ? closed_until_ - now : microseconds(0));
   const auto retry_after = static_cast<std::uint32_t>(
       std::max<std::int64_t>(1, CeilMilliseconds(wait)));
-  const bool busy = Occupied() >= window_ || !queue_.empty() || closed;
-  if (item.second_attempt && busy) {
+  const bool cold_or_short =
+      closed || window_ < limits_.slots || queue_.size() >= limits_.slots;
+  if (item.second_attempt && cold_or_short) {
     return {false, reason::kOverLimit, retry_after};
   }
   const double service = service_us_ == 0 ? kUnknownServiceUs : service_us_;
