Less work for each sub-request: watches kept, timers re-armed only earlier

Cause: a profile of an entry at 60% load showed 2.6% in clearing a 64 KB read buffer at each read, 5% in allocating watches for each transfer, and 2% in timers that every reply cancelled and set anew to the same time. Ruled out: the codec (under 2%), ownership checks (under 1%).

--- a/include/basilhoist/entry/entry_task.h
+++ b/include/basilhoist/entry/entry_task.h
@@ -92,6 +92,7 @@
     group_state* group = nullptr;
     instant deadline;
     timer_id wake = 0;
+    instant wake_at;
     bool admitted = false;
   };
   struct open_attempt {
--- a/src/entry/entry_task.cc
+++ b/src/entry/entry_task.cc
@@ -124,8 +124,13 @@
   }
   const auto found = runs_.find(run_id);
   if (found == runs_.end()) return;
-  loop_.Cancel(found->second.wake);
-  found->second.wake = loop_.At(step.wake_at, [this, run_id] {
+  // A timer that fires too early only looks again; most replies change
+  // nothing about the time, and timers cost more than a look.
+  running& current = found->second;
+  if (current.wake != 0 && current.wake_at <= step.wake_at) return;
+  loop_.Cancel(current.wake);
+  current.wake_at = step.wake_at;
+  current.wake = loop_.At(step.wake_at, [this, run_id] {
     const auto woken = runs_.find(run_id);
     if (woken == runs_.end()) return;
     woken->second.wake = 0;
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -66,7 +66,7 @@
   timer_id timeout = 0;
   std::uint64_t last_id = 0;
   std::unordered_map<std::uint64_t, std::unique_ptr<transfer>> transfers;
-  std::unordered_map<curl_socket_t, std::shared_ptr<fd_watch>> watches;
+  std::unordered_map<curl_socket_t, std::unique_ptr<fd_watch>> watches;
   std::vector<CURL*> pool;
 
   explicit state(event_loop& the_loop) : loop(the_loop) {}
@@ -120,17 +120,16 @@
   static int OnSocket(CURL*, curl_socket_t fd, int what, void* self, void*) {
     auto& watches = static_cast<state*>(self)->watches;
     if (what == CURL_POLL_REMOVE) {
-      // The watch may be the one whose callback is running: it goes later.
-      auto gone = watches.extract(fd);
-      if (gone.empty()) return 0;
-      gone.mapped()->Set(-1, false, false);
-      static_cast<state*>(self)->loop.Post([kept = gone.mapped()] {});
+      // The watch is kept for the next use of this number: connections stay
+      // open and are taken up again with each transfer.
+      const auto known = watches.find(fd);
+      if (known != watches.end()) known->second->Set(-1, false, false);
       return 0;
     }
     auto& watch = watches[fd];
     if (!watch) {
       auto* owner = static_cast<state*>(self);
-      watch = std::make_shared<fd_watch>(
+      watch = std::make_unique<fd_watch>(
           owner->loop, [owner, fd](bool readable, bool writable) {
             owner->Act(fd, (readable ? CURL_CSELECT_IN : 0) |
                                (writable ? CURL_CSELECT_OUT : 0));
--- a/src/link/frame_link.cc
+++ b/src/link/frame_link.cc
@@ -100,7 +100,7 @@
   }
 
   void Read() {
-    std::array<char, kReadBytes> chunk{};
+    std::array<char, kReadBytes> chunk;  // not cleared: it is large
     while (fd >= 0) {
       const auto got = recv(fd, chunk.data(), chunk.size(), 0);
       if (got > 0) {
--- a/src/loop/event_loop.cc
+++ b/src/loop/event_loop.cc
@@ -131,6 +131,8 @@
   struct ev_loop* loop = nullptr;
   ev_io io{};
   std::function<void(bool, bool)> on_event;
+  int fd = -1;
+  int events = 0;
 };
 
 fd_watch::fd_watch(event_loop& loop, std::function<void(bool, bool)> on_event)
@@ -148,6 +150,9 @@
 
 void fd_watch::Set(int fd, bool readable, bool writable) {
   const int events = (readable ? EV_READ : 0) | (writable ? EV_WRITE : 0);
+  if (fd == state_->fd && events == state_->events) return;
+  state_->fd = fd;
+  state_->events = events;
   ev_io_stop(state_->loop, &state_->io);
   if (events == 0) return;
   ev_io_set(&state_->io, fd, events);
