--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -4,10 +4,15 @@
 import json
 import tempfile
 
+import bench_faults
 import bench_query
 
 BENCHES = {
+    "cold": bench_faults.cold,
+    "domain": bench_faults.domain,
+    "overload": bench_faults.overload,
     "query": bench_query.run,
+    "rolling": bench_faults.rolling,
 }
 
 
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -313,11 +313,13 @@
 
     def wait_ready(self, timeout=15):
         for number in range(self.count):
-            self._wait(lambda n=number: http(
-                "GET", f"http://{self.ops(n)}/readyz", timeout=1)[0] == 200,
-                timeout)
+            self.wait_entry(number, timeout)
         self._wait(self.settled, timeout)
 
+    def wait_entry(self, number, timeout=15):
+        self._wait(lambda: http("GET", f"http://{self.ops(number)}/readyz",
+                                timeout=1)[0] == 200, timeout)
+
     def settled(self):
         """Every entry sees a view that holds all entries, none of them out."""
         for number in range(self.count):
