Hand-over without a gap: documents pushed, first heartbeats answered, retirements tell what is clear

Cause, found by polling every instance's dump during a rolling restart: (1) at each new epoch nobody held a lease for 300-400 ms, since a grant needs the peer's heartbeat of that epoch first and the next one came 250 ms later, and views spread by heartbeats; (2) an owner that retired within 2.6 s of an epoch change left servers without an owner until 2.6 s were over: its successor had not seen what had let it act; (3) a server without traffic was never taken up and so never handed over; (4) a fresh instance was ready before its links stood and refused what it could not send. Ruled out: reconnection of links (200 ms, over before the view changes). Change: changed documents go to all at once; the first heartbeat of an epoch is answered at once; a retiring member states the servers that no owner of the former epoch can act for; members take up all they may every 100 ms and before a view changes; first readiness waits for links to all members.

--- a/include/basilhoist/link/messages.h
+++ b/include/basilhoist/link/messages.h
@@ -148,6 +148,8 @@
   std::vector<std::string> fenced;           ///< In `epoch`.
   std::vector<std::string> previous_fenced;  ///< When it left epoch - 1.
   std::vector<std::string> released;         ///< Servers handed over.
+  /// Of a retired member: servers that no owner of epoch - 1 can act for.
+  std::vector<std::string> cleared;
   std::vector<document_version> documents;
 
   bool operator==(const heartbeat&) const = default;
--- a/include/basilhoist/member/member_task.h
+++ b/include/basilhoist/member/member_task.h
@@ -47,6 +47,11 @@
   /// A document has changed here; the view is taken over.
   void OnChange(const document& changed);
 
+  /// Takes the site's servers.
+  void SetServers(std::vector<owned_server> servers) {
+    servers_ = std::move(servers);
+  }
+
   /// Tells peers whether this instance takes requests.
   void SetReady(bool ready) { ready_ = ready; }
 
@@ -70,6 +75,8 @@
 
  private:
   void SendHeartbeats();
+  void SendHeartbeat(const std::string& to, instant now);
+  void PushDocument(const document& changed);
   void PostHeartbeats();
   void Tick();
   void Propose();
@@ -86,6 +93,8 @@
   member_options options_;
   ownership ownership_;
   std::map<std::string, known_instance> known_;
+  std::map<std::string, std::uint64_t> answered_epoch_;
+  std::vector<owned_server> servers_;
   std::set<std::string> listed_;  // by the platform, at some time
   std::optional<member_view> wanted_;
   instant wanted_since_;
--- a/include/basilhoist/member/ownership.h
+++ b/include/basilhoist/member/ownership.h
@@ -72,8 +72,13 @@
   ///     it may no longer send to and has not released
   [[nodiscard]] std::vector<std::string> ToRelease() const;
 
+  /// Takes up whatever it may send to now, so that servers without traffic
+  /// are handed over like all others.
+  void TakeUp(const std::vector<owned_server>& servers, instant now);
+
   /// Gives up every server for good; nothing of ours may run on any.
-  void Retire();
+  /// @param servers all of the site's servers
+  void Retire(const std::vector<owned_server>& servers, instant now);
 
   /// @return the member that acts for the server, as far as known here
   [[nodiscard]] std::string OwnerOf(const owned_server& server) const;
@@ -145,6 +150,7 @@
   std::set<std::string> released_;     // of those, handed over
   std::map<std::string, move> moves_;
   std::optional<instant> moved_at_;  // a majority had moved
+  std::set<std::string> cleared_;    // known free of owners of epoch - 1
   std::set<std::string> holding_;    // servers acted for in this epoch
   std::map<std::string, std::string> failure_domains_;
   mutable std::map<owned_server, std::vector<std::string>> orders_;
--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -1,5 +1,6 @@
 #include "basilhoist/instance/instance.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -18,6 +19,7 @@
 namespace {
 
 constexpr microseconds kUpkeepPeriod = milliseconds(20);
+constexpr microseconds kLongestLinkWait = milliseconds(5000);
 constexpr std::size_t kMaxBodyBytes = 1U << 20U;
 
 // Replies of the local owner to a remote entry.
@@ -158,7 +160,20 @@
  private:
   [[nodiscard]] bool Ready() const {
     return !stopping_ && has_settings_ && entry_->HasIndex() &&
-           members_.Owners().View().epoch > 0 && connected_;
+           members_.Owners().View().epoch > 0 && connected_ && linked_once_;
+  }
+
+  // Callers are taken only when owners can be reached. A member that cannot
+  // be reached does not hold readiness back for long.
+  [[nodiscard]] bool ReachesOwners() const {
+    if (Now() - started_ > kLongestLinkWait) return true;
+    const auto linked = mesh_.Linked();
+    const auto out = members_.Owners().Out();
+    const auto& all = members_.Owners().View().members;
+    return std::all_of(all.begin(), all.end(), [&](const member& each) {
+      return each.name == self_.name || out.contains(each.name) ||
+             linked.contains(each.name);
+    });
   }
 
   dump_sources Sources() const {
@@ -246,7 +261,13 @@
       BOOST_LEAF_AUTO(checked, CheckSettings(source));
       settings_ = std::move(checked);
       has_settings_ = true;
-      owner_.SetServers(IndexServers(settings_));
+      const auto servers = IndexServers(settings_);
+      owner_.SetServers(servers);
+      std::vector<owned_server> owned;
+      for (const auto& [name, entry] : servers) {
+        owned.push_back({name, entry.server.failure_domain});
+      }
+      members_.SetServers(std::move(owned));
       entry_->SetSettings(settings_);
       ApplyDrains();
       return {};
@@ -281,6 +302,7 @@
     // An instance that hears neither store nor majority serves nobody.
     connected_ = sync_.StoreUp() || !mesh_.Linked().empty() ||
                  members_.Owners().LeaseValid(Now());
+    linked_once_ = linked_once_ || ReachesOwners();
     if (Ready()) {
       api_.Start();
       members_.SetReady(true);
@@ -367,6 +389,8 @@
   std::map<std::string, remote_sink> sinks_;
   bool has_settings_ = false;
   bool connected_ = false;
+  bool linked_once_ = false;
+  instant started_ = Now();
   bool stopping_ = false;
   bool retired_ = false;
   bool quiesced_ = false;
--- a/src/link/codec.cc
+++ b/src/link/codec.cc
@@ -60,7 +60,8 @@
 template <typename Archive>
 void serialize(Archive& archive, heartbeat& m) {
   archive(m.from, m.incarnation, m.epoch, m.sent_at_us, m.echo_us, m.retired,
-          m.ready, m.fenced, m.previous_fenced, m.released, m.documents);
+          m.ready, m.fenced, m.previous_fenced, m.released, m.cleared,
+          m.documents);
 }
 template <typename Archive>
 void serialize(Archive& archive, crash_report& m) {
--- a/src/member/member_task.cc
+++ b/src/member/member_task.cc
@@ -68,6 +68,13 @@
   known.ready = beat.ready;
   known.retired = beat.retired;
   ownership_.OnHeartbeat(beat, now);
+  // The first heartbeat of an epoch is answered at once: until then the peer
+  // has no grant and may not send.
+  const std::uint64_t epoch = ownership_.View().epoch;
+  if (beat.epoch == epoch && answered_epoch_[beat.from] != epoch) {
+    answered_epoch_[beat.from] = epoch;
+    SendHeartbeat(beat.from, now);
+  }
   const auto link = source.link.lock();
   if (!link) return;
   for (const auto& each : documents_.NewerThan(beat.documents)) {
@@ -79,12 +86,22 @@
   documents_.Offer(arrived);
 }
 
+// What is new goes to all at once. Their heartbeats would ask for it, too, but
+// only in a while.
+void member_task::PushDocument(const document& changed) {
+  for (const auto& name : mesh_.Linked()) {
+    mesh_.Send(name, frame_kind::kDocument, Encode(changed));
+  }
+}
+
 void member_task::OnChange(const document& changed) {
+  PushDocument(changed);
   PostHeartbeats();
   if (changed.name != kViewDocument) return;
   leaf::try_handle_all(
       [&]() -> leaf::result<void> {
         BOOST_LEAF_AUTO(view, ParseMemberView(changed.content));
+        ownership_.TakeUp(servers_, Now());
         ownership_.OnView(view, Now());
         LogOf("member")->info("View {} has {} members.", view.epoch,
                               view.members.size());
@@ -108,22 +125,25 @@
 
 void member_task::SendHeartbeats() {
   const instant now = Now();
-  for (const auto& name : mesh_.Linked()) {
-    heartbeat beat = ownership_.MakeHeartbeat(name, now);
-    beat.ready = ready_;
-    beat.documents = documents_.Versions();
-    mesh_.Send(name, frame_kind::kHeartbeat, Encode(beat));
-  }
+  for (const auto& name : mesh_.Linked()) SendHeartbeat(name, now);
+}
+
+void member_task::SendHeartbeat(const std::string& to, instant now) {
+  heartbeat beat = ownership_.MakeHeartbeat(to, now);
+  beat.ready = ready_;
+  beat.documents = documents_.Versions();
+  mesh_.Send(to, frame_kind::kHeartbeat, Encode(beat));
 }
 
 void member_task::Tick() {
   ownership_.OnTime(Now());
+  ownership_.TakeUp(servers_, Now());
   Propose();
 }
 
 void member_task::Retire() {
   retired_ = true;
-  ownership_.Retire();
+  ownership_.Retire(servers_, Now());
   SendHeartbeats();
 }
 
--- a/src/member/ownership.cc
+++ b/src/member/ownership.cc
@@ -60,6 +60,7 @@
   out_since_.clear();
   released_.clear();
   holding_.clear();
+  cleared_.clear();
   moves_.clear();
   moved_at_.reset();
   for (const auto& each : view_.members) {
@@ -92,6 +93,7 @@
   peer.last_heard = now;
   peer.last_sent_at_us = std::max(peer.last_sent_at_us, beat.sent_at_us);
   peer.retired = peer.retired || beat.retired;
+  cleared_.insert(beat.cleared.begin(), beat.cleared.end());
   peer.fenced.insert(beat.fenced.begin(), beat.fenced.end());
   if (beat.echo_us != 0) {
     const instant granted =
@@ -150,6 +152,7 @@
   if (known != peers_.end() && !known->second.fenced_by_us && IsMember()) {
     beat.echo_us = known->second.last_sent_at_us;
   }
+  if (retired_) beat.cleared.assign(cleared_.begin(), cleared_.end());
   const auto fenced = FencedByUs();
   beat.fenced.assign(fenced.begin(), fenced.end());
   if (came_from_previous_) {
@@ -219,7 +222,7 @@
 
 bool ownership::PreviousOwnersGone(const std::string& server,
                                    instant now) const {
-  if (view_.previous.empty()) return true;
+  if (view_.previous.empty() || cleared_.contains(server)) return true;
   if (!moved_at_) return false;
   if (now >= *moved_at_ + Wait()) return true;
   if (held_before_.contains(server) && ClearedBy(self_.name)) return true;
@@ -255,7 +258,18 @@
   released_.insert(server);
 }
 
-void ownership::Retire() { retired_ = true; }
+void ownership::TakeUp(const std::vector<owned_server>& servers, instant now) {
+  for (const auto& server : servers) static_cast<void>(MaySend(server, now));
+}
+
+// The successor in this epoch has not seen what let this member act, so it is
+// told for which servers the owners of the epoch before are gone for good.
+void ownership::Retire(const std::vector<owned_server>& servers, instant now) {
+  for (const auto& server : servers) {
+    if (PreviousOwnersGone(server.name, now)) cleared_.insert(server.name);
+  }
+  retired_ = true;
+}
 
 bool ownership::Settled() const {
   if (view_.epoch == 0) return false;
--- a/tests/ownership_test.cc
+++ b/tests/ownership_test.cc
@@ -82,6 +82,14 @@
 
   void SetLoss(int percent) { loss_percent_ = percent; }
 
+  void Retire(int number) {
+    process& each = all_[number];
+    for (const auto& [name, until] : each.running_until) {
+      if (until > now_) return;
+    }
+    if (!Frozen(each)) each.owners->Retire(kServers, now_);
+  }
+
   // A new view through the store, proposed by a settled member.
   void Propose(int by, const std::set<int>& without) {
     process& proposer = all_[by];
@@ -217,6 +225,7 @@
       all.SetLoss(*rc::gen::inRange(0, 40));
       break;
     default:
+      all.Retire(a);
       break;
   }
   for (int i = 0; i < count; ++i) {
@@ -286,7 +295,7 @@
   exchange();
   const owned_server& server = kServers[0];
   BOOST_TEST(all[0].MaySend(server, now));
-  all[0].Retire();
+  all[0].Retire(kServers, now);
   exchange();
   BOOST_TEST(!all[0].MaySend(server, now));
   const int owners = static_cast<int>(all[1].MaySend(server, now)) +
