--- a/apps/load.cc
+++ b/apps/load.cc
@@ -234,7 +234,7 @@
     http_.Start(std::move(call),
                 [this, stream, id, body, due, entry](http_result& result) {
                   --open_;
-                  OnResult(stream, id, body, due, result);
+                  OnResult(stream, id, body, due, entry, result);
                 });
   }
 
@@ -245,20 +245,22 @@
   }
 
   void OnResult(const load_stream& stream, const std::string& id,
-                const std::string& body, instant due, http_result& result) {
+                const std::string& body, instant due,
+                const basilhoist::endpoint& entry, http_result& result) {
     group_report& group = groups_[stream.group];
     const auto took = static_cast<double>((basilhoist::Now() - due).count());
     const json answer =
         result.Answered() ? json::parse(result.Body(), nullptr, false) : json();
     if (!answer.is_object()) {
       ++group.cut;
-      Log(id, stream, "cut", json::object(), due, took);
+      Log(id, stream, "cut", json::object(), entry, true);
       return;
     }
     const std::string verdict = answer.value("verdict", "");
     const bool recorded = result.Header("X-Recorded-Outcome") == "1";
-    Log(id, stream, recorded ? "recorded" : verdict, answer, due, took);
-    if (!Check(answer, id, body)) ++group.wrong;
+    const bool right = Check(answer, id, body);
+    if (!right) ++group.wrong;
+    Log(id, stream, recorded ? "recorded" : verdict, answer, entry, right);
     if (verdict == "not_run") {
       ++group.not_run;
       group.refusals.push_back(took);
@@ -310,18 +312,23 @@
            answered + coverage["missing"].size() == total;
   }
 
+  // One line a request, for the history checker.
   void Log(const std::string& id, const load_stream& stream,
-           const std::string& verdict, const json& answer, instant due,
-           double took) {
+           const std::string& verdict, const json& answer,
+           const basilhoist::endpoint& entry, bool right) {
     if (!log_.is_open()) return;
     const json coverage = answer.value("coverage", json::object());
     json shards = json::array();
     for (const auto& each : answer.value("results", json::array())) {
       shards.push_back(each.value("shard", ""));
     }
+    const auto wall = std::chrono::duration_cast<microseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
     log_ << json{{"id", id},
                  {"group", stream.group},
-                 {"kind", static_cast<int>(stream.kind)},
+                 {"once", stream.kind == operation::kOnce},
+                 {"lookup", stream.kind == operation::kLookup},
+                 {"entry", entry.address},
                  {"verdict", verdict},
                  {"reason", answer.value("reason", "")},
                  {"version", answer.value("index_version", 0)},
@@ -329,8 +336,8 @@
                  {"total", coverage.value("total", 0)},
                  {"shards", shards},
                  {"missing", coverage.value("missing", json::array())},
-                 {"due_us", (due - began_).count()},
-                 {"took_us", took}}
+                 {"ended_us", wall.count()},
+                 {"right", right}}
                 .dump()
          << "\n";
   }
--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -4,10 +4,12 @@
 import json
 import tempfile
 
+import bench_chaos
 import bench_faults
 import bench_query
 
 BENCHES = {
+    "chaos": bench_chaos.run,
     "cold": bench_faults.cold,
     "domain": bench_faults.domain,
     "overload": bench_faults.overload,
--- a/scripts/bench_common.py
+++ b/scripts/bench_common.py
@@ -50,10 +50,10 @@
     return ",".join(streams)
 
 
-def start(site, logs, seed, **options):
+def start(site, logs, seed, keep_records=False, **options):
     return fleet.Fleet(site, f"{logs}/{site}", seed=seed,
                        typical_us=TYPICAL_US, slow_share=SLOW_SHARE,
-                       records=False, balancer_lag_ms=500, **options)
+                       records=keep_records, balancer_lag_ms=500, **options)
 
 
 def warm_up(sites, share=0.3, seconds=2):
