Accepted changes are handed to an instance as well as to the store

Change: after acceptance the operators' tool offers the document to one of the instances it was given; members push it on. Left: a tool that dies between the store's answer and the offer.

--- a/apps/ctl.cc
+++ b/apps/ctl.cc
@@ -237,6 +237,7 @@
   const auto wait = std::stod(Text(given, "--wait-s"));
   std::vector<std::string> lagging;
   const bool accepted = result.outcome == change_outcome::kAccepted;
+  if (accepted) calls.Fleet().Offer(document, result.content);
   if (accepted && wait > 0) {
     lagging = calls.Fleet().WaitForVersion(
         document, result.version,
--- a/include/basilhoist/ctl/change.h
+++ b/include/basilhoist/ctl/change.h
@@ -26,6 +26,7 @@
   change_outcome outcome = change_outcome::kFailed;
   std::uint64_t version = 0;  ///< Of the document, when accepted or outrun.
   std::string detail;
+  std::string content;  ///< Of the document, when accepted.
 };
 
 /// A document's next content, or why there can be none.
@@ -75,6 +76,7 @@
   store_client& store_;
   document_change change_;
   callback done_;
+  std::string written_;  // what the latest write held
   int tries_ = 0;
   std::uint64_t expected_revision_ = 0;
 };
--- a/include/basilhoist/ctl/fleet_query.h
+++ b/include/basilhoist/ctl/fleet_query.h
@@ -35,6 +35,10 @@
   /// @return the highest version of a document that any instance holds
   std::uint64_t HighestVersion(const std::string& document);
 
+  /// Hands an accepted document to every instance, so that it is in force
+  /// even if the store goes away before they have read it.
+  void Offer(const std::string& document, const std::string& content);
+
   /// Waits until every instance holds a version.
   /// @return the instances that do not after the time given
   std::vector<std::string> WaitForVersion(const std::string& document,
--- a/include/basilhoist/rpc/rpc_codec.h
+++ b/include/basilhoist/rpc/rpc_codec.h
@@ -23,6 +23,11 @@
   /// Lets requests of a fingerprint run again.
   /// @return whether it was held back before
   virtual bool ReleaseQuarantine(const std::string& fingerprint) = 0;
+
+  /// Takes a document that the store has accepted.
+  /// @param text {"name": NAME, "content": TEXT}
+  /// @return whether it was newer than the one held
+  virtual bool OfferDocument(const std::string& text) = 0;
 };
 
 /// Turns request texts into calls of a handler.
--- a/src/ctl/change.cc
+++ b/src/ctl/change.cc
@@ -38,7 +38,8 @@
 
 void change_task::Finish(change_outcome outcome, std::uint64_t version,
                          const std::string& detail) {
-  done_({outcome, version, detail});
+  const bool accepted = outcome == change_outcome::kAccepted;
+  done_({outcome, version, detail, accepted ? written_ : std::string()});
 }
 
 void change_task::Read() {
@@ -57,6 +58,7 @@
       found ? reply.objects.front() : stored_object{.key = change_.key};
   const std::uint64_t version = ContentVersion(present.content);
   if (ContentOperation(present.content) == change_.operation_id) {
+    written_ = present.content;
     Finish(change_outcome::kAccepted, version, "It had been accepted before.");
     return;
   }
@@ -79,6 +81,7 @@
     return;
   }
   expected_revision_ = present.revision;
+  written_ = next.content;
   store_.Put(
       change_.key, present.revision, next.content,
       [this, version](const store_reply& reply) { OnWrite(reply, version); });
--- a/src/ctl/fleet_query.cc
+++ b/src/ctl/fleet_query.cc
@@ -62,6 +62,16 @@
   return highest;
 }
 
+void fleet_query::Offer(const std::string& document,
+                        const std::string& content) {
+  const std::string text =
+      nlohmann::json{{"name", document}, {"content", content}}.dump();
+  for (const auto& where : instances_) {
+    // Members pass it on: it needs to reach one only.
+    if (Call(where, "offer", text).ok) return;
+  }
+}
+
 std::vector<std::string> fleet_query::WaitForVersion(
     const std::string& document, std::uint64_t version, microseconds at_most) {
   const instant until = Now() + at_most;
--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -157,6 +157,14 @@
   std::string Dump() override { return FormatDump(Sources()); }
   bool ReleaseQuarantine(const std::string&) override { return false; }
 
+  bool OfferDocument(const std::string& text) override {
+    const auto value = nlohmann::json::parse(text, nullptr, false);
+    if (!value.is_object()) return false;
+    const std::string content = value.value("content", "");
+    return documents_.Offer(
+        {value.value("name", ""), ContentVersion(content), content});
+  }
+
  private:
   [[nodiscard]] bool Ready() const {
     return !stopping_ && has_settings_ && entry_->HasIndex() &&
--- a/src/rpc/rpc_codec.cc
+++ b/src/rpc/rpc_codec.cc
@@ -8,7 +8,7 @@
 namespace basilhoist {
 namespace {
 
-constexpr const char* kFingerprint = "fingerprint";
+constexpr const char* kParameter = "value";
 
 Json::Value ParseJson(const std::string& text) {
   Json::Value value;
@@ -51,8 +51,11 @@
         Procedure("dump", PARAMS_BY_NAME, jsonrpc::JSON_OBJECT, nullptr),
         &method_table::Dump);
     bindAndAddMethod(Procedure("release", PARAMS_BY_NAME, jsonrpc::JSON_BOOLEAN,
-                               kFingerprint, jsonrpc::JSON_STRING, nullptr),
+                               kParameter, jsonrpc::JSON_STRING, nullptr),
                      &method_table::Release);
+    bindAndAddMethod(Procedure("offer", PARAMS_BY_NAME, jsonrpc::JSON_BOOLEAN,
+                               kParameter, jsonrpc::JSON_STRING, nullptr),
+                     &method_table::Offer);
   }
 
  private:
@@ -63,7 +66,11 @@
     result = ParseJson(handler_.Dump());
   }
   void Release(const Json::Value& parameters, Json::Value& result) {
-    result = handler_.ReleaseQuarantine(parameters[kFingerprint].asString());
+    result = handler_.ReleaseQuarantine(parameters[kParameter].asString());
+  }
+
+  void Offer(const Json::Value& parameters, Json::Value& result) {
+    result = handler_.OfferDocument(parameters[kParameter].asString());
   }
 
   rpc_handler& handler_;
@@ -95,7 +102,7 @@
   request["jsonrpc"] = "2.0";
   request["id"] = 1;
   request["method"] = method;
-  if (!parameter.empty()) request["params"][kFingerprint] = parameter;
+  if (!parameter.empty()) request["params"][kParameter] = parameter;
   return FormatJson(request);
 }
 
