--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -130,7 +130,7 @@
             self._wait(lambda i=index: http(
                 "GET", f"http://{self.control(i)}/control")[0] == 200)
 
-    def start_entry(self, number):
+    def start_entry(self, number, *extra):
         domain = number % len(self.info["domains"])
         words = [
             BUILD / "basilhoist-entry", f"--site={self.site}",
@@ -140,7 +140,7 @@
             f"--store={self.store}", f"--peers={self.peers()}",
             f"--balancer-lag-ms={self.balancer_lag_ms}",
             f"--hop-delay-us={self.hop_delay_us}", f"--seed={self.seed + number}",
-            "--experiments"]
+            "--experiments", *extra]
         if self.baseline:
             words.append("--baseline")
         self._start(f"entry-{number}", words)
--- /dev/null
+++ b/tests/process_support.py
@@ -0,0 +1,39 @@
+"""What tests of whole processes share."""
+
+import os
+import pathlib
+import sys
+import tempfile
+import unittest
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent
+                       / "scripts"))
+import fleet  # noqa: E402
+
+SEED = int(os.environ.get("BASILHOIST_SEED", "1"))
+
+
+class FleetTest(unittest.TestCase):
+    """Starts one small fleet for all tests of a class."""
+
+    SITE = "quetzal"
+    OPTIONS = {"entries": 4, "slow_share": 0.0, "balancer_lag_ms": 200}
+
+    @classmethod
+    def setUpClass(cls):
+        cls.logs = tempfile.TemporaryDirectory()
+        cls.site = fleet.Fleet(cls.SITE, cls.logs.name, seed=SEED,
+                               **cls.OPTIONS)
+        cls.addClassCleanup(cls.logs.cleanup)
+        cls.addClassCleanup(cls.site.stop)
+        cls.site.start()
+
+    def ask(self, method, path, body=None, entry=0, **headers):
+        sent = {name.replace("_", "-"): value
+                for name, value in headers.items()}
+        return fleet.http(method, f"http://{self.site.entry(entry)}{path}",
+                          body, sent)
+
+    def query(self, entry=0, request_id="q", group="matchday-desk"):
+        return self.ask("POST", f"/v1/groups/{group}/query", {"find": 1},
+                        entry, X_Request_Id=request_id)
