Bench: ownership compares one owner, two owners with halves, and shares

Cause: the choice of one owner rested on arithmetic only. Conclusion: one owner stays. Shares cannot divide two slots by eight, and nobody but a single holder can keep a cold server at one request.

--- a/apps/entry.cc
+++ b/apps/entry.cc
@@ -6,6 +6,7 @@
 #include <sstream>
 
 #include "basilhoist/instance/instance.h"
+#include "basilhoist/instance/sharing.h"
 #include "basilhoist/ops/log.h"
 
 namespace {
@@ -38,6 +39,8 @@
                            [default: 0].
   --baseline               Random replicas, no second attempts, retries or
                            admission limit; for experiments.
+  --sharing=NAME           one-owner, or shares or two-owners for experiments
+                           [default: one-owner].
   -h --help                Shows this.
 
 Example:
@@ -80,6 +83,7 @@
       .max_caller_connections =
           static_cast<unsigned>(given.at("--max-connections").asLong()),
       .seed = static_cast<std::uint64_t>(given.at("--seed").asLong()),
+      .sharing = text("--sharing"),
       .experiments = given.at("--experiments").asBool(),
       .cross_domain_delay =
           basilhoist::microseconds(given.at("--hop-delay-us").asLong())};
@@ -106,6 +110,11 @@
               << error.what() << "); see --help\n";
     return EXIT_FAILURE;
   }
+  if (!basilhoist::MakeSharing(options.sharing)) {
+    std::cerr << "basilhoist-entry: --sharing takes one-owner, shares or "
+                 "two-owners\n";
+    return EXIT_FAILURE;
+  }
   if (options.store.port == 0) {
     std::cerr << "basilhoist-entry: --store takes IP:PORT\n";
     return EXIT_FAILURE;
--- a/include/basilhoist/instance/instance.h
+++ b/include/basilhoist/instance/instance.h
@@ -29,6 +29,7 @@
   std::uint64_t seed = 1;
   ownership_options spans;
   query_strategy strategy;
+  std::string sharing = "one-owner";  ///< See sharing.h.
   /// For experiments only.
   bool experiments = false;
   microseconds cross_domain_delay{0};
--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -6,12 +6,14 @@
 
 import bench_chaos
 import bench_faults
+import bench_ownership
 import bench_query
 
 BENCHES = {
     "chaos": bench_chaos.run,
     "cold": bench_faults.cold,
     "domain": bench_faults.domain,
+    "ownership": bench_ownership.run,
     "overload": bench_faults.overload,
     "query": bench_query.run,
     "rolling": bench_faults.rolling,
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -66,7 +66,7 @@
     def __init__(self, site, logs, entries=8, seed=1, typical_us=10000,
                  slow_share=0.02, hop_delay_us=1500, distance_us=1500,
                  balancer_lag_ms=1000, baseline=False, records=True,
-                 overlay=None):
+                 overlay=None, sharing="one-owner"):
         self.site = site
         self.info = SITES[site]
         self.overlay = pathlib.Path(overlay or self.info["overlay"])
@@ -81,6 +81,7 @@
         self.balancer_lag_ms = balancer_lag_ms
         self.baseline = baseline
         self.records = records
+        self.sharing = sharing
         self.processes = {}
         self.files = []
         net = self.info["net"]
@@ -140,7 +141,7 @@
             f"--store={self.store}", f"--peers={self.peers()}",
             f"--balancer-lag-ms={self.balancer_lag_ms}",
             f"--hop-delay-us={self.hop_delay_us}", f"--seed={self.seed + number}",
-            "--experiments", *extra]
+            f"--sharing={self.sharing}", "--experiments", *extra]
         if self.baseline:
             words.append("--baseline")
         self._start(f"entry-{number}", words)
--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -9,6 +9,7 @@
 #include "basilhoist/http/http_server.h"
 #include "basilhoist/instance/drains.h"
 #include "basilhoist/instance/instance_dump.h"
+#include "basilhoist/instance/sharing.h"
 #include "basilhoist/link/codec.h"
 #include "basilhoist/member/member_task.h"
 #include "basilhoist/member/peer_mesh.h"
@@ -56,6 +57,7 @@
         options_(std::move(options)),
         self_(MakeSelf(options_)),
         log_(LogOf("instance")),
+        sharing_(MakeSharing(options_.sharing)),
         http_(loop),
         store_(http_, Format(options_.store), options_.address),
         mesh_(
@@ -78,7 +80,8 @@
                {.local_address = options_.address,
                 .may_send =
                     [this](const owned_server& server) {
-                      return members_.Owners().MaySend(server, Now());
+                      return sharing_->MaySend(members_.Owners(), server,
+                                               Now());
                     }}),
         entry_(std::make_shared<entry_task>(
             loop, *this,
@@ -86,7 +89,8 @@
                           .strategy = options_.strategy,
                           .owner_of =
                               [this](const owned_server& server) {
-                                return members_.Owners().OwnerOf(server);
+                                return sharing_->OwnerOf(members_.Owners(),
+                                                         server);
                               }})),
         once_(loop, store_, *entry_,
               {.site = options_.site,
@@ -269,7 +273,10 @@
       BOOST_LEAF_AUTO(checked, CheckSettings(source));
       settings_ = std::move(checked);
       has_settings_ = true;
-      const auto servers = IndexServers(settings_);
+      auto servers = IndexServers(settings_);
+      for (auto& [name, entry] : servers) {
+        entry.limits = sharing_->Share(entry.limits);
+      }
       owner_.SetServers(servers);
       std::vector<owned_server> owned;
       for (const auto& [name, entry] : servers) {
@@ -379,6 +386,7 @@
   instance_options options_;
   member self_;
   std::shared_ptr<spdlog::logger> log_;
+  std::unique_ptr<sharing_strategy> sharing_;
   http_client http_;
   store_client store_;
   document_table documents_;
