Control cost measured by size; linear work for each heartbeat and reply

Cause, found by timing the pure parts at 8 to 500 members and 20 to 290 shards: each heartbeat counted all fences anew (cubic in a round: 2.2 ms at 64 members, 1 s at 500), each reply looked at every shard of its request (1.33 ms for 290 shards), and every instance asked the platform for its list every 2 s (1,946 calls a second at 3,900 instances, over the 1,500 that there are). Change: fences are counted when they change; a request keeps its next wake and its first open shard; the list is read by watchers, rarely while all is well.

--- a/include/basilhoist/entry/query_run.h
+++ b/include/basilhoist/entry/query_run.h
@@ -112,6 +112,7 @@
   struct part {
     const shard* place = nullptr;
     std::set<std::string> tried;
+    std::vector<std::uint64_t> attempts;
     std::uint32_t open = 0;
     bool answered = false;
     bool given_up = false;
@@ -149,7 +150,7 @@
   void Close(reason why, instant now, query_step& step);
   [[nodiscard]] bool SecondAllowed() const;
   [[nodiscard]] instant SecondAt(const part& current) const;
-  [[nodiscard]] bool Complete() const;
+  [[nodiscard]] bool Complete();
   [[nodiscard]] instant NextWake() const;
   [[nodiscard]] instant PartialAt() const;
 
@@ -162,6 +163,9 @@
   std::uint64_t version_ = 0;
   std::uint32_t restarts_ = 0;
   bool over_ = false;
+  bool wake_is_old_ = true;
+  instant wake_;
+  std::size_t first_open_part_ = 0;
   instant began_;
   verdict outcome_ = verdict::kNotRun;
   std::uint32_t retry_after_ms_ = 0;
--- a/include/basilhoist/member/member_task.h
+++ b/include/basilhoist/member/member_task.h
@@ -18,7 +18,7 @@
 struct member_options {
   std::string site;
   ownership_options spans;
-  microseconds heartbeat_period = milliseconds(250);
+  microseconds heartbeat_period = milliseconds(400);
 };
 
 /// What a member knows of another instance from its heartbeats.
@@ -70,10 +70,18 @@
     return known_;
   }
 
+  /// @return bytes of heartbeats and documents sent so far
+  [[nodiscard]] std::uint64_t ControlBytes() const { return control_bytes_; }
+
   ownership& Owners() { return ownership_; }
   [[nodiscard]] const ownership& Owners() const { return ownership_; }
 
  private:
+  struct told_state {
+    std::uint64_t changes = 0;
+    instant at;
+  };
+
   void SendHeartbeats();
   void SendHeartbeat(const std::string& to, instant now);
   void PushDocument(const document& changed);
@@ -82,6 +90,7 @@
   void Propose();
   void WriteView(const member_view& proposed, std::uint64_t revision);
   void ReadInstances();
+  [[nodiscard]] bool NeedsList() const;
   [[nodiscard]] bool MayPropose() const;
   [[nodiscard]] std::optional<member_view> NextView() const;
   [[nodiscard]] bool HeardLately(const std::string& name) const;
@@ -99,6 +108,10 @@
   std::optional<member_view> wanted_;
   instant wanted_since_;
   instant started_;
+  instant list_read_at_;
+  std::map<std::string, told_state> told_;
+  std::uint64_t changes_ = 1;  // of documents
+  std::uint64_t control_bytes_ = 0;
   bool proposing_ = false;
   bool heartbeat_posted_ = false;
   bool ready_ = false;
--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -5,6 +5,7 @@
 import tempfile
 
 import bench_chaos
+import bench_control
 import bench_faults
 import bench_ownership
 import bench_query
@@ -12,11 +13,13 @@
 BENCHES = {
     "chaos": bench_chaos.run,
     "cold": bench_faults.cold,
+    "control": bench_control.run,
     "domain": bench_faults.domain,
     "ownership": bench_ownership.run,
     "overload": bench_faults.overload,
     "query": bench_query.run,
     "rolling": bench_faults.rolling,
+    "subrequest": bench_control.subrequest,
 }
 
 
--- /dev/null
+++ b/scripts/red.py
@@ -0,0 +1,139 @@
+"""Switches mechanisms off one by one and runs the tests; see scripts/red."""
+
+import dataclasses
+import os
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+COPIED = ("CMakeLists.txt", "include", "src", "apps", "standins", "tests",
+          "benchmarks", "scripts", "examples")
+
+
+@dataclasses.dataclass
+class Mechanism:
+    """A line that carries a mechanism, and the test that must miss it."""
+
+    file: str
+    line: str
+    without: str
+    test: str
+
+
+MECHANISMS = {
+    "echo_checked": Mechanism(
+        "src/entry/query_run.cc",
+        "reply.outcome == verdict::kDone && matches",
+        "reply.outcome == verdict::kDone", "query_run_test"),
+    "restart_forgets": Mechanism(
+        "src/entry/query_run.cc", "  parts_.clear();\n", "",
+        "query_run_test"),
+    "doubt_is_kept": Mechanism(
+        "src/entry/query_run.cc",
+        "outcome_ = Combine(outcome_, reply.outcome);", "",
+        "query_run_test"),
+    "once_is_not_retried": Mechanism(
+        "src/entry/query_run.cc",
+        "if (spec_.once && outcome_ != verdict::kNotRun) {", "if (false) {",
+        "query_run_test"),
+    "given_up_at_once": Mechanism(
+        "src/entry/query_run.cc", "  current.given_up = true;\n}\n\n"
+        "query_step query_run::OnReply", "}\n\nquery_step query_run::OnReply",
+        "query_run_test"),
+    "lease_checked": Mechanism(
+        "src/member/ownership.cc",
+        "if (retired_ || !LeaseValid(now)) return false;",
+        "if (retired_) return false;", "ownership_test"),
+    "takeover_waits": Mechanism(
+        "src/member/ownership.cc",
+        "return options_.lease + options_.longest_attempt + "
+        "options_.clock_margin;", "return options_.clock_margin;",
+        "ownership_test"),
+    "former_owners_waited_for": Mechanism(
+        "src/member/ownership.cc",
+        "if (!PreviousOwnersGone(server.name, now)) return false;", "",
+        "ownership_test"),
+    "restart_shuts_window": Mechanism(
+        "src/owner/server_gate.cc",
+        "if (!incarnation_.empty()) Close(now, false);", "",
+        "server_gate_test"),
+    "slow_replies_shut_window": Mechanism(
+        "src/owner/server_gate.cc",
+        "if (slow_in_a_row_ >= kSlowInARow) Close(now, false);", "",
+        "server_gate_test"),
+    "lost_keeps_slot": Mechanism(
+        "src/owner/server_gate.cc", "doubtful_.push_back(deadline);", "",
+        "server_gate_test"),
+    "window_limits": Mechanism(
+        "src/owner/server_gate.cc", "Occupied() < window_) {",
+        "Occupied() < window_ + 1) {", "server_gate_test"),
+    "sent_once": Mechanism(
+        "src/http/http_client.cc",
+        "if (current->sent) return CURL_PREREQFUNC_ABORT;", "",
+        "http_client_test"),
+    "drained_gets_nothing": Mechanism(
+        "src/instance/instance.cc", "    owner_.SetBarred(barred);\n"
+        "    entry_->SetBarred(barred);", "", "chaos_test.py"),
+    "highest_version_wins": Mechanism(
+        "src/document/document_table.cc",
+        "if (offered.version <= VersionOf(offered.name)) return false;", "",
+        "operators_test.py"),
+}
+
+
+def run(words, folder, env=None):
+    return subprocess.run([str(word) for word in words], cwd=folder,
+                          capture_output=True, text=True, check=False,
+                          env=env, timeout=600)
+
+
+def show(name, mechanism, folder):
+    """Returns whether the test fails without the mechanism."""
+    path = folder / mechanism.file
+    text = path.read_text()
+    if mechanism.line not in text:
+        print(f"LOST  {name}: its line is not in {mechanism.file}")
+        return False
+    path.write_text(text.replace(mechanism.line, mechanism.without, 1))
+    env = dict(os.environ, RC_PARAMS="seed=1 max_success=1000")
+    if mechanism.test.endswith(".py"):
+        built = run(["ninja", "-C", "build"], folder)
+        command = [sys.executable, folder / "tests" / mechanism.test]
+    else:
+        built = run(["ninja", "-C", "build", mechanism.test], folder)
+        command = [folder / "build" / mechanism.test]
+    done = run(command, folder, env) if built.returncode == 0 else None
+    path.write_text(text)
+    if done is None:
+        print(f"LOST  {name}: does not build without it\n"
+              f"{built.stdout[-600:]}")
+        return False
+    red = done.returncode != 0
+    print(f"{'red  ' if red else 'GREEN'} {mechanism.test} without {name}",
+          flush=True)
+    return red
+
+
+def main():
+    wanted = sys.argv[1:] or sorted(MECHANISMS)
+    with tempfile.TemporaryDirectory() as scratch:
+        folder = pathlib.Path(scratch)
+        for item in COPIED:
+            source = ROOT / item
+            if source.is_dir():
+                shutil.copytree(source, folder / item)
+            else:
+                shutil.copy2(source, folder / item)
+        run(["cmake", "-S", ".", "-B", "build", "-G", "Ninja",
+             "-DCMAKE_BUILD_TYPE=Debug"], folder)
+        run(["ninja", "-C", "build"], folder)
+        shown = [show(name, MECHANISMS[name], folder) for name in wanted]
+    print(f"{sum(shown)} of {len(shown)} mechanisms are missed by their tests")
+    sys.exit(0 if all(shown) else 1)
+
+
+if __name__ == "__main__":
+    main()
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -10,7 +10,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BUILD = ROOT / "build"
-SOURCE_FOLDERS = ("include", "src", "apps", "standins", "tests")
+SOURCE_FOLDERS = ("include", "src", "apps", "standins", "benchmarks", "tests")
 TEST_TIMEOUT_S = 600
 
 
--- a/src/entry/query_run.cc
+++ b/src/entry/query_run.cc
@@ -42,6 +42,8 @@
 // Chooses the index version for the whole answer and starts every shard.
 void query_run::Pin(instant now, query_step& step) {
   parts_.clear();
+  first_open_part_ = 0;
+  wake_is_old_ = true;
   index_ = source_();
   if (!index_) return;
   const index_version* chosen = ChooseVersion(*index_, servers_);
@@ -83,6 +85,8 @@
   current.tried.insert(server);
   ++current.open;
   open_[id] = {part_index, server, now, second};
+  current.attempts.push_back(id);
+  wake_is_old_ = true;
   servers_.OnSent(server);
   step.send.push_back({id, server, current.place->name, version_, second});
   return true;
@@ -125,6 +129,7 @@
   if (allowed && in_time && ++current.rounds < kMostRounds) {
     current.tried.clear();
     current.retry_at = now + pause;
+    wake_is_old_ = true;
     return;
   }
   current.given_up = true;
@@ -168,21 +173,21 @@
 
 void query_run::CancelOpen(std::size_t part_index, instant now,
                            query_step& step) {
-  for (auto it = open_.begin(); it != open_.end();) {
-    if (it->second.part != part_index) {
-      ++it;
-      continue;
-    }
-    step.cancel.push_back({it->first, it->second.server});
-    if (!it->second.second && parts_[part_index].answered) {
+  part& current = parts_[part_index];
+  for (const std::uint64_t id : current.attempts) {
+    const auto found = open_.find(id);
+    if (found == open_.end()) continue;
+    const attempt open = found->second;
+    open_.erase(found);
+    step.cancel.push_back({id, open.server});
+    if (!open.second && current.answered) {
       // It would have taken longer than this; that is all one can know.
-      group_.attempt_latency.Add(now - it->second.sent_at -
-                                 parts_[part_index].first_wait);
+      group_.attempt_latency.Add(now - open.sent_at - current.first_wait);
     }
-    servers_.OnCancelled(it->second.server, now - it->second.sent_at);
-    it = open_.erase(it);
+    servers_.OnCancelled(open.server, now - open.sent_at);
   }
-  parts_[part_index].open = 0;
+  current.attempts.clear();
+  current.open = 0;
 }
 
 void query_run::OnFailure(const attempt& from, const subreply& reply,
@@ -254,6 +259,7 @@
 query_step query_run::OnTime(instant now) {
   query_step step;
   if (over_) return step;
+  wake_is_old_ = true;
   for (std::size_t i = 0; i < parts_.size(); ++i) {
     part& current = parts_[i];
     if (current.answered || current.given_up) continue;
@@ -289,10 +295,14 @@
                   current.first_sent + current.first_wait + delay);
 }
 
-bool query_run::Complete() const {
-  return std::all_of(parts_.begin(), parts_.end(), [](const part& each) {
-    return each.answered || each.given_up;
-  });
+bool query_run::Complete() {
+  // A part that is over stays over, so each is looked at once.
+  while (first_open_part_ < parts_.size()) {
+    const part& each = parts_[first_open_part_];
+    if (!each.answered && !each.given_up) return false;
+    ++first_open_part_;
+  }
+  return true;
 }
 
 instant query_run::PartialAt() const {
@@ -318,7 +328,11 @@
   } else if (now >= PartialAt()) {
     Close(reason::kDeadlinePassed, now, step);
   } else {
-    step.wake_at = NextWake();
+    // Replies only ever make the next wake later: it need not be worked out
+    // anew for each of them, which would be quadratic in the shards.
+    if (wake_is_old_) wake_ = NextWake();
+    wake_is_old_ = false;
+    step.wake_at = wake_;
   }
   return step;
 }
--- a/src/instance/instance_dump.cc
+++ b/src/instance/instance_dump.cc
@@ -109,6 +109,7 @@
                   {"not_claimed", once.not_claimed},
                   {"recorded", once.recorded}};
   dump["instances"] = InstancesJson(from.members);
+  dump["control_bytes"] = from.members.ControlBytes();
   dump["store_calls"] = from.store_calls;
   return dump.dump();
 }
--- a/src/member/member_task.cc
+++ b/src/member/member_task.cc
@@ -14,9 +14,12 @@
 // that instances which start together cause one view and not many.
 constexpr microseconds kSettleTime = milliseconds(300);
 constexpr microseconds kListPeriod = milliseconds(2000);
+constexpr microseconds kIdleListPeriod = milliseconds(30000);
 // A process that is no member proposes only if it heard no member for so long.
 constexpr microseconds kOrphanTime = milliseconds(3000);
 constexpr std::size_t kWatchers = 2;
+constexpr microseconds kVersionsPeriod = milliseconds(1000);
+constexpr std::size_t kFrameHeaderBytes = 5;
 
 bool SameMembers(const member_view& a, const member_view& b) {
   return a.epoch == b.epoch && a.members == b.members;
@@ -77,6 +80,7 @@
   }
   const auto link = source.link.lock();
   if (!link) return;
+  if (beat.documents.empty() && beat.epoch != 0) return;
   for (const auto& each : documents_.NewerThan(beat.documents)) {
     mesh_.Send(beat.from, frame_kind::kDocument, Encode(each));
   }
@@ -90,11 +94,14 @@
 // only in a while.
 void member_task::PushDocument(const document& changed) {
   for (const auto& name : mesh_.Linked()) {
-    mesh_.Send(name, frame_kind::kDocument, Encode(changed));
+    const std::string bytes = Encode(changed);
+    control_bytes_ += bytes.size() + kFrameHeaderBytes;
+    mesh_.Send(name, frame_kind::kDocument, bytes);
   }
 }
 
 void member_task::OnChange(const document& changed) {
+  ++changes_;
   PushDocument(changed);
   PostHeartbeats();
   if (changed.name != kViewDocument) return;
@@ -131,8 +138,16 @@
 void member_task::SendHeartbeat(const std::string& to, instant now) {
   heartbeat beat = ownership_.MakeHeartbeat(to, now);
   beat.ready = ready_;
-  beat.documents = documents_.Versions();
-  mesh_.Send(to, frame_kind::kHeartbeat, Encode(beat));
+  // Versions ride along when something changed, and now and then in case a
+  // frame was lost with a link: they are half of a heartbeat's bytes.
+  told_state& told = told_[to];
+  if (told.changes != changes_ || now - told.at > kVersionsPeriod) {
+    told = {changes_, now};
+    beat.documents = documents_.Versions();
+  }
+  const std::string bytes = Encode(beat);
+  control_bytes_ += bytes.size() + kFrameHeaderBytes;
+  mesh_.Send(to, frame_kind::kHeartbeat, bytes);
 }
 
 void member_task::Tick() {
@@ -251,7 +266,20 @@
              });
 }
 
+// The list tells of instances that have ended. It is read by the watchers, now
+// and then, and by anyone who cannot go on without it.
+bool member_task::NeedsList() const {
+  const instant now = Now();
+  const bool alone = ownership_.View().epoch == 0 || mesh_.Linked().empty();
+  if (alone || !ownership_.LeaseValid(now)) return true;
+  if (!IsWatcher()) return false;
+  const bool unsettled = !ownership_.Settled() || !ownership_.Out().empty();
+  return unsettled || now - list_read_at_ > kIdleListPeriod;
+}
+
 void member_task::ReadInstances() {
+  if (!NeedsList()) return;
+  list_read_at_ = Now();
   store_.ListInstances([this](const instance_list& list) {
     if (!list.known) return;
     std::set<std::string> present;
--- a/src/member/ownership.cc
+++ b/src/member/ownership.cc
@@ -100,7 +100,7 @@
         instant(microseconds(beat.echo_us)) + options_.lease;
     peer.granted_until = std::max(peer.granted_until, granted);
   }
-  NoteFences(now);
+  if (!beat.fenced.empty()) NoteFences(now);
 }
 
 void ownership::OnTime(instant now) {
@@ -112,10 +112,14 @@
     for (auto& [name, peer] : peers_) peer.last_heard = now;
     return;
   }
+  bool fenced = false;
   for (auto& [name, peer] : peers_) {
-    if (now - peer.last_heard > options_.silence) peer.fenced_by_us = true;
+    if (peer.fenced_by_us || now - peer.last_heard <= options_.silence)
+      continue;
+    peer.fenced_by_us = true;
+    fenced = true;
   }
-  NoteFences(now);
+  if (fenced) NoteFences(now);
 }
 
 void ownership::NoteFences(instant now) {
