--- a/apps/load.cc
+++ b/apps/load.cc
@@ -71,7 +71,7 @@
   std::vector<double> refusals;   // of "not run" answers
 };
 
-struct second_report {
+struct step_report {
   std::uint64_t sent = 0;
   std::uint64_t full = 0;
   std::uint64_t answered = 0;
@@ -139,9 +139,11 @@
         basilhoist::standin::Quantile(oracle, 0.99) / 1000.0;
     report["bound_p99_ms"] =
         basilhoist::standin::Quantile(bound, 0.99) / 1000.0;
-    json timeline = json::array();
-    for (const auto& each : timeline_) {
-      timeline.push_back({each.sent, each.full, each.answered});
+    json timeline = json::object();
+    for (const auto& [name, steps] : timeline_) {
+      for (const auto& each : steps) {
+        timeline[name].push_back({each.sent, each.full, each.answered});
+      }
     }
     report["timeline_100ms"] = timeline;
     std::cout << report.dump() << "\n";
@@ -241,7 +243,7 @@
       reference_.Add(*group, id, entry.address);
     }
     ++groups_[stream.group].sent;
-    ++At(due).sent;
+    ++At(stream.group, due).sent;
     const std::uint64_t serial = ++last_serial_;
     open_[serial] = {id, stream, entry};
     http_.Start(std::move(call), [this, serial, stream, id, body, due,
@@ -251,10 +253,11 @@
     });
   }
 
-  second_report& At(instant due) {
+  step_report& At(const std::string& group, instant due) {
     const auto slot = static_cast<std::size_t>((due - began_).count() / 100000);
-    if (timeline_.size() <= slot) timeline_.resize(slot + 1);
-    return timeline_[slot];
+    auto& steps = timeline_[group];
+    if (steps.size() <= slot) steps.resize(slot + 1);
+    return steps[slot];
   }
 
   void OnResult(const load_stream& stream, const std::string& id,
@@ -282,12 +285,13 @@
     } else if (recorded) {
       ++group.recorded;
     } else {
-      CountAnswer(group, answer, due, took);
+      CountAnswer(stream.group, answer, due, took);
     }
   }
 
-  void CountAnswer(group_report& group, const json& answer, instant due,
+  void CountAnswer(const std::string& name, const json& answer, instant due,
                    double took) {
+    group_report& group = groups_[name];
     const json& coverage = answer["coverage"];
     const double answered = coverage.value("answered", 0.0);
     const double total = coverage.value("total", 1.0);
@@ -295,8 +299,8 @@
     ++(full ? group.full : group.partial);
     group.coverage += total > 0 ? answered / total : 0;
     group.latencies.push_back(took);
-    ++At(due).answered;
-    At(due).full += full ? 1 : 0;
+    ++At(name, due).answered;
+    At(name, due).full += full ? 1 : 0;
   }
 
   // One snapshot, true coverage, and the caller's own request.
@@ -383,7 +387,7 @@
   std::vector<entry_state> entries_;
   std::vector<load_stream> streams_;
   std::map<std::string, group_report> groups_;
-  std::vector<second_report> timeline_;
+  std::map<std::string, std::vector<step_report>> timeline_;
   std::ofstream log_;
   std::size_t next_entry_ = 0;
   std::map<std::uint64_t, open_request> open_;
--- a/include/basilhoist/member/member_task.h
+++ b/include/basilhoist/member/member_task.h
@@ -112,6 +112,7 @@
   std::map<std::string, told_state> told_;
   std::uint64_t changes_ = 1;  // of documents
   std::uint64_t control_bytes_ = 0;
+  bool from_peer_ = false;  // while a peer's document is taken
   bool proposing_ = false;
   bool heartbeat_posted_ = false;
   bool ready_ = false;
--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -6,6 +6,7 @@
 
 import bench_chaos
 import bench_control
+import bench_control_path
 import bench_faults
 import bench_ownership
 import bench_query
@@ -13,9 +14,11 @@
 BENCHES = {
     "chaos": bench_chaos.run,
     "cold": bench_faults.cold,
+    "config": bench_control_path.config,
     "control": bench_control.run,
     "domain": bench_faults.domain,
     "ownership": bench_ownership.run,
+    "once": bench_control_path.once,
     "overload": bench_faults.overload,
     "query": bench_query.run,
     "rolling": bench_faults.rolling,
--- a/scripts/red.py
+++ b/scripts/red.py
@@ -27,7 +27,8 @@
     "echo_checked": Mechanism(
         "src/entry/query_run.cc",
         "reply.outcome == verdict::kDone && matches",
-        "reply.outcome == verdict::kDone", "query_run_test"),
+        "reply.outcome == verdict::kDone && (matches || true)",
+        "query_run_test"),
     "restart_forgets": Mechanism(
         "src/entry/query_run.cc", "  parts_.clear();\n", "",
         "query_run_test"),
@@ -62,10 +63,12 @@
         "server_gate_test"),
     "slow_replies_shut_window": Mechanism(
         "src/owner/server_gate.cc",
-        "if (slow_in_a_row_ >= kSlowInARow) Close(now, false);", "",
+        "if (slow_in_a_row_ >= kSlowInARow) Close(now, false);",
+        "if (slow_in_a_row_ > 1000000) Close(now, false);",
         "server_gate_test"),
     "lost_keeps_slot": Mechanism(
-        "src/owner/server_gate.cc", "doubtful_.push_back(deadline);", "",
+        "src/owner/server_gate.cc", "doubtful_.push_back(deadline);",
+        "static_cast<void>(deadline);",
         "server_gate_test"),
     "window_limits": Mechanism(
         "src/owner/server_gate.cc", "Occupied() < window_) {",
--- a/src/entry/entry_task.cc
+++ b/src/entry/entry_task.cc
@@ -82,7 +82,7 @@
   group_state& group = *found->second;
   // Requests that may not be repeated have been admitted by their claim.
   const bool limited =
-      request.kind == operation::kQuery && options_.strategy.admission;
+      request.kind != operation::kOnce && options_.strategy.admission;
   if (limited && !group.admission.Enter()) {
     Refuse(done, reason::kOverLimit, kOverLimitRetryMs);
     return;
--- a/src/link/frame_link.cc
+++ b/src/link/frame_link.cc
@@ -17,6 +17,7 @@
 
 constexpr std::size_t kHeaderBytes = 5;
 constexpr std::size_t kMaxFrameBytes = 16U << 20U;
+constexpr std::size_t kKeptBufferBytes = 16U << 10U;
 constexpr std::size_t kReadBytes = 64U << 10U;
 // A peer that takes nothing for so long that this much piles up is cut off.
 constexpr std::size_t kMaxUnsentBytes = 64U << 20U;
@@ -30,6 +31,11 @@
   return result;
 }
 
+// A large document must not leave its size behind in every link's buffer.
+void GiveBack(std::string& buffer) {
+  if (buffer.capacity() > kKeptBufferBytes) std::string().swap(buffer);
+}
+
 void SetNoDelay(int fd) {
   const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -96,6 +102,7 @@
       Fail();
       return;
     }
+    if (output.empty()) GiveBack(output);
     watch.Set(fd, true, !output.empty());
   }
 
@@ -132,6 +139,7 @@
       used += kHeaderBytes + size;
     }
     input.erase(0, used);
+    if (input.empty()) GiveBack(input);
   }
 
   void Append(const std::string& bytes) {
--- a/src/member/member_task.cc
+++ b/src/member/member_task.cc
@@ -87,7 +87,9 @@
 }
 
 void member_task::OnDocument(const document& arrived) {
+  from_peer_ = true;
   documents_.Offer(arrived);
+  from_peer_ = false;
 }
 
 // What is new goes to all at once. Their heartbeats would ask for it, too, but
@@ -102,7 +104,9 @@
 
 void member_task::OnChange(const document& changed) {
   ++changes_;
-  PushDocument(changed);
+  // Whoever has it from the store or an operator sends it to all. The others
+  // do not: a frame that got lost is made good by the versions in heartbeats.
+  if (!from_peer_) PushDocument(changed);
   PostHeartbeats();
   if (changed.name != kViewDocument) return;
   leaf::try_handle_all(
