A payload lives until its batch has left

Ruled out by reading: attempt ids, sinks of restarted peers, libcurl's connections, suspended connections of the HTTP server, the stand-ins' echo. Found: the outbox told payloads apart by their address. A request that ends in the turn in which it sent (given up, deadline) frees its payload before the batch leaves, and the next request of that turn can get the same address: its sub-request then carried the other's id and body. A request that may not be repeated could have run twice that way. Test first: request_outbox_test was red (the payload was gone before its batch left), and is green now that the batch holds its payloads. A breach found by chaos now leaves what belongs to it beside the log.

--- a/apps/load.cc
+++ b/apps/load.cc
@@ -354,7 +354,8 @@
                  {"shards", shards},
                  {"missing", coverage.value("missing", json::array())},
                  {"ended_us", wall.count()},
-                 {"right", right}}
+                 {"right", right},
+                 {"answer", right ? json() : answer}}
                 .dump()
          << "\n";
   }
--- a/include/basilhoist/entry/request_outbox.h
+++ b/include/basilhoist/entry/request_outbox.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <unordered_map>
 
@@ -37,7 +38,9 @@
  private:
   struct pending {
     subrequest_batch batch;
-    std::unordered_map<const request_payload*, std::uint32_t> payload_at;
+    // Holds the payloads: a freed one's address could be another request's.
+    std::unordered_map<std::shared_ptr<const request_payload>, std::uint32_t>
+        payload_at;
     cancel_batch cancels;
   };
 
--- a/scripts/chaos.py
+++ b/scripts/chaos.py
@@ -319,6 +319,18 @@
             domain_of=self.domains(), crashes_caused=self.crashes)
 
 
+def explain(recorded, breaches, log):
+    """Keeps what belongs to each breach beside the log of answers."""
+    ids = {breach.split(":")[0] for found in breaches.values()
+           for breach in found}
+    related = [item for item in recorded.answers
+               if item["id"] in ids]
+    related += [item for item in recorded.runs if item["request_id"] in ids]
+    if related:
+        pathlib.Path(f"{log}.breaches").write_text(
+            "\n".join(json.dumps(item) for item in related))
+
+
 def run(site_name, logs, seed, seconds, kinds=None):
     """Returns (report of the load, breaches by promise, faults by kind)."""
     log = f"{logs}/answers-{seed}.jsonl"
@@ -326,5 +338,7 @@
         common.warm_up([site])
         chaos = Chaos(site, seed, seconds, kinds)
         report = chaos.run(log)
-        breaches = history.check(chaos.history(log))
+        recorded = chaos.history(log)
+        breaches = history.check(recorded)
+        explain(recorded, breaches, log)
     return report, breaches, chaos.used
--- a/src/entry/request_outbox.cc
+++ b/src/entry/request_outbox.cc
@@ -13,7 +13,7 @@
     const std::shared_ptr<const request_payload>& payload) {
   pending& out = pending_[owner];
   const auto next = static_cast<std::uint32_t>(out.batch.payloads.size());
-  const auto [found, fresh] = out.payload_at.emplace(payload.get(), next);
+  const auto [found, fresh] = out.payload_at.emplace(payload, next);
   if (fresh) out.batch.payloads.push_back(*payload);
   request.payload = found->second;
   out.batch.items.push_back(std::move(request));
