--- /dev/null
+++ b/src/ctl/ctl_session.cc
@@ -0,0 +1,36 @@
+#include "basilhoist/ctl/ctl_session.h"
+
+#include <utility>
+
+namespace basilhoist {
+
+ctl_session::ctl_session(const ctl_arguments& given)
+    : http_(loop_),
+      store_(http_, ArgumentText(given, "--store"), ""),
+      fleet_(loop_, http_, ArgumentText(given, "--instances")) {}
+
+store_reply ctl_session::Get(const std::string& key) {
+  store_reply got;
+  store_.Get(key, [&](const store_reply& reply) {
+    got = reply;
+    loop_.Stop();
+  });
+  loop_.Run();
+  return got;
+}
+
+change_result ctl_session::Make(document_change change,
+                                const std::string& document) {
+  change.known_version = fleet_.HighestVersion(document);
+  change_result result;
+  change_task task(loop_, store_, std::move(change),
+                   [&](const change_result& ended) {
+                     result = ended;
+                     loop_.Stop();
+                   });
+  task.Start();
+  loop_.Run();
+  return result;
+}
+
+}  // namespace basilhoist
