--- a/include/basilhoist/member/member_task.h
+++ b/include/basilhoist/member/member_task.h
@@ -65,7 +65,10 @@
   /// @return whether this instance should watch the store for all others
   [[nodiscard]] bool IsWatcher() const;
 
-  /// @return whether a view was proposed lately but not yet decided
+  /// @return whether any other instance was heard lately
+  [[nodiscard]] bool HearsAnyone() const;
+
+  /// @return other instances by name, as heard from
   [[nodiscard]] const std::map<std::string, known_instance>& Known() const {
     return known_;
   }
--- a/scripts/bench_common.py
+++ b/scripts/bench_common.py
@@ -1,7 +1,5 @@
 """Loads and sums that several measurements share."""
 
-import json
-
 import fleet
 
 TYPICAL_US = 20000
@@ -116,7 +114,3 @@
 def share(reports, key):
     sent = sum(report["sent"] for report in reports)
     return sum(report[key] for report in reports) / sent if sent else 0.0
-
-
-def dump(value):
-    return json.dumps(value, indent=1)
--- a/scripts/chaos.py
+++ b/scripts/chaos.py
@@ -56,6 +56,9 @@
             return None
         return self.random.choice(free)
 
+    def pick_server(self):
+        return self.random.choice(sorted(self.domains()))
+
     def back(self, number):
         self.disturbed.discard(number)
 
@@ -140,37 +143,19 @@
         self.site.platform(lose_answers=self.random.randint(1, 4))
         return True
 
-    def restore_store(self):
-        # Only documents may go back: a store that forgets a claim forgets
-        # that the request ran, which nothing can make up for.
-        self.site.platform(save=True)
-        return True
-
     def crash_server(self):
-        servers = sorted(server for services in
-                         self.site.group_services().values()
-                         for service in services.values()
-                         for server in service)
         self.crashes += 1
-        self.site.backends(servers=[self.random.choice(servers)], crash=True)
+        self.site.backends(servers=[self.pick_server()], crash=True)
         return True
 
     def slow_server(self):
-        servers = sorted(server for services in
-                         self.site.group_services().values()
-                         for service in services.values()
-                         for server in service)
-        name = self.random.choice(servers)
+        name = self.pick_server()
         self.site.backends(servers=[name], slow_factor=8)
         self.at(3, lambda: self.site.backends(servers=[name], slow_factor=1))
         return True
 
     def cross_replies(self):
-        servers = sorted(server for services in
-                         self.site.group_services().values()
-                         for service in services.values()
-                         for server in service)
-        name = self.random.choice(servers)
+        name = self.pick_server()
         self.site.backends(servers=[name], cross_replies=True)
         self.at(2, lambda: self.site.backends(servers=[name],
                                               cross_replies=False))
--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -311,9 +311,9 @@
   }
 
   void Upkeep() {
-    // An instance that hears neither store nor majority serves nobody.
-    connected_ = sync_.StoreUp() || !mesh_.Linked().empty() ||
-                 members_.Owners().LeaseValid(Now());
+    // A link that was cut stays open for long, and a watch waits for long: only
+    // what was heard lately counts. Alone in its view, it has its own lease.
+    connected_ = members_.HearsAnyone() || members_.Owners().LeaseValid(Now());
     linked_once_ = linked_once_ || ReachesOwners();
     if (Ready()) {
       api_.Start();
--- a/src/member/member_task.cc
+++ b/src/member/member_task.cc
@@ -178,6 +178,12 @@
          Now() - found->second.heard_at < options_.spans.silence;
 }
 
+bool member_task::HearsAnyone() const {
+  return std::any_of(known_.begin(), known_.end(), [this](const auto& entry) {
+    return HeardLately(entry.first);
+  });
+}
+
 // The first member in the order of names that is alive proposes. Two that
 // both take themselves for the first are told apart by the store.
 bool member_task::MayPropose() const {
--- a/tests/operators_test.py
+++ b/tests/operators_test.py
@@ -111,6 +111,20 @@
         finally:
             self.site.platform(refuse=False)
 
+    def test_an_instance_that_hears_nobody_is_not_ready(self):
+        def ready():
+            return fleet.http("GET", f"http://{self.site.ops(3)}/readyz")[0]
+
+        url = f"http://{self.site.ops(3)}/experiment/cut"
+        fleet.http("POST", url, [self.site.entry_name(n) for n in range(3)])
+        self.site.platform(cut=[self.site.entry_address(3)])
+        try:
+            self.site._wait(lambda: ready() == 503, timeout=5)
+        finally:
+            fleet.http("POST", url, [])
+            self.site.platform(cut=[])
+        self.site.wait_ready()
+
     def test_status_and_dump(self):
         code, out = self.ctl_json("status", f"--instances={self.site.ops(0)}")
         self.assertEqual(0, code)
