--- a/include/basilhoist/dispatch/service_call.h
+++ b/include/basilhoist/dispatch/service_call.h
@@ -65,6 +65,7 @@
     std::uint64_t id = 0;      // of the sender
     std::uint64_t server = 0;
     std::uint64_t stats_key = 0;
+    bool extra = false;  // counted in the retry budget
     instant since;
   };
   enum class attempt : std::uint8_t { kSent, kLater, kNever };
--- a/src/dispatch/service_call.cc
+++ b/src/dispatch/service_call.cc
@@ -163,7 +163,7 @@
       on_reply);
   in_flight_.push_back(
       {.number = number, .id = id, .server = key, .stats_key = send_key,
-       .since = now});
+       .extra = extra, .since = now});
   tried_.insert(key);
   reached_ = true;
   if (in_flight_.size() == 1) ArmSecondSend();
@@ -210,6 +210,9 @@
       .With("after_ms", ToMilliseconds(Now() - ended.since));
   if (SurelyNotRun(outcome)) {
     tried_.erase(ended.server);
+    if (outcome == send_outcome::kNeverSent && ended.extra) {
+      shared_.budgets[service_].Refund();
+    }
     if (outcome == send_outcome::kNeverSent && in_flight_.empty() &&
         tried_.empty()) {
       // No server was reached, so the next send is the first again.
--- /dev/null
+++ b/tests/feed_state_test.cc
@@ -0,0 +1,170 @@
+// What a router knows of a kind of objects, while calls are lost, refused and
+// the history is dropped: never less than before, and in the end everything.
+#include "basilhoist/knowledge/feed_state.h"
+
+#include <rapidcheck/boost_test.h>
+
+#include <boost/test/unit_test.hpp>
+
+namespace basilhoist {
+namespace {
+
+const instant kStart{std::chrono::seconds(100)};
+
+// The store as far as a feed sees it.
+class fake_store {
+ public:
+  void Write(const std::string& name, int content) {
+    ++revision_;
+    objects_[name] = {.name = name, .revision = revision_, .content = content};
+    history_.push_back({.changed = objects_[name]});
+  }
+
+  void Remove(const std::string& name) {
+    if (objects_.erase(name) == 0) return;
+    ++revision_;
+    history_.push_back(
+        {.changed = {.name = name, .revision = revision_}, .deleted = true});
+  }
+
+  void DropHistory() { oldest_ = revision_; }
+
+  object_page Page(const std::string& after, std::size_t size) const {
+    object_page page{.revision = revision_};
+    for (auto each = objects_.upper_bound(after); each != objects_.end();
+         ++each) {
+      if (page.objects.size() == size) {
+        page.has_more = true;
+        break;
+      }
+      page.objects.push_back(each->second);
+    }
+    return page;
+  }
+
+  std::optional<object_events> Events(std::uint64_t since) const {
+    if (since < oldest_) return std::nullopt;
+    object_events events{.revision = revision_};
+    for (const auto& each : history_) {
+      if (each.changed.revision > since) events.events.push_back(each);
+    }
+    return events;
+  }
+
+  object_snapshot Snapshot() const {
+    return {.revision = revision_, .objects = objects_};
+  }
+
+ private:
+  std::map<std::string, object> objects_;
+  std::vector<object_event> history_;
+  std::uint64_t revision_ = 10;
+  std::uint64_t oldest_ = 0;
+};
+
+// Runs the step that the feed asks for.
+void Answer(feed_state& feed, const fake_store& store, std::size_t page_size) {
+  const feed_step step = feed.Next();
+  if (step.what == feed_step::action::kList) {
+    feed.OnPage(call_outcome::kOk, store.Page(step.after, page_size), kStart);
+  } else if (const auto events = store.Events(step.revision)) {
+    feed.OnEvents(call_outcome::kOk, *events, kStart);
+  } else {
+    feed.OnEvents(call_outcome::kHistoryGone, {}, kStart);
+  }
+}
+
+void Fail(feed_state& feed, call_outcome outcome) {
+  if (feed.Next().what == feed_step::action::kList) {
+    feed.OnPage(outcome, {}, kStart);
+  } else {
+    feed.OnEvents(outcome, {}, kStart);
+  }
+}
+
+RC_BOOST_PROP(NeverGoesBackAndEndsWithEverything, ()) {
+  fake_store store;
+  feed_state feed;
+  std::uint64_t highest = 0;
+  const auto steps = *rc::gen::container<std::vector<int>>(
+      rc::gen::inRange(0, 10));
+  object_snapshot old_view;
+  for (const int step : steps) {
+    const std::string name(1, static_cast<char>('a' + step % 4));
+    switch (step) {
+      case 0:
+      case 1:
+      case 2:
+        store.Write(name, *rc::gen::inRange(0, 100));
+        break;
+      case 3:
+        store.Remove("b");
+        break;
+      case 4:
+        store.DropHistory();
+        break;
+      case 5:
+        Fail(feed, call_outcome::kNotDone);
+        break;
+      case 6:
+        Fail(feed, call_outcome::kUnknown);
+        break;
+      case 7:
+        old_view = store.Snapshot();
+        feed.Offer(old_view);
+        break;
+      case 8:
+        feed.Offer(old_view);  // A peer that is behind.
+        break;
+      default:
+        Answer(feed, store, 2);
+    }
+    RC_ASSERT(feed.Snapshot().revision >= highest);
+    highest = feed.Snapshot().revision;
+  }
+  for (int i = 0; i < 12; ++i) Answer(feed, store, 2);
+  RC_ASSERT(feed.Snapshot().objects == store.Snapshot().objects);
+  RC_ASSERT(feed.Healthy());
+}
+
+BOOST_AUTO_TEST_CASE(WhatChangesBetweenTwoPagesIsSeen) {
+  fake_store store;
+  store.Write("a", 1);
+  store.Write("b", 1);
+  store.Write("c", 1);
+  feed_state feed;
+  Answer(feed, store, 2);
+  store.Write("a", 2);
+  Answer(feed, store, 2);
+  BOOST_TEST(feed.Snapshot().objects.at("a").content == 1);
+  Answer(feed, store, 2);
+  BOOST_TEST(feed.Snapshot().objects.at("a").content == 2);
+}
+
+BOOST_AUTO_TEST_CASE(FailuresAreRetriedWithGrowingDelays) {
+  feed_state feed;
+  milliseconds before{0};
+  for (int i = 0; i < 6; ++i) {
+    feed.OnPage(call_outcome::kNotDone, {}, kStart);
+    const milliseconds delay = feed.Next().delay;
+    BOOST_TEST((delay >= before && delay <= feed_state::kLongestRetry));
+    before = delay;
+  }
+  BOOST_TEST((before == feed_state::kLongestRetry));
+  BOOST_TEST(!feed.Healthy());
+  BOOST_TEST((feed.LastFailure() == kStart));
+}
+
+BOOST_AUTO_TEST_CASE(AWatchAfterAPeersSnapshotContinuesFromIt) {
+  fake_store store;
+  store.Write("a", 1);
+  feed_state feed;
+  Answer(feed, store, 9);
+  store.Write("a", 2);
+  BOOST_TEST(feed.Offer(store.Snapshot()));
+  BOOST_TEST(feed.Next().revision == store.Snapshot().revision);
+  BOOST_TEST(!feed.Offer(store.Snapshot()));
+}
+
+}  // namespace
+}  // namespace basilhoist
--- /dev/null
+++ b/tests/platform_test.cc
@@ -0,0 +1,195 @@
+// The platform's settings and objects become the product's own types; what is
+// malformed is told or left out.
+#include <boost/test/unit_test.hpp>
+#include <cstdio>
+#include <fstream>
+
+#include "platform/binding.h"
+#include "platform/node_settings.h"
+
+namespace basilhoist {
+namespace {
+
+constexpr const char* kSettings = R"({
+  "nodeName": "n1", "zone": "z1", "ip": "10.1.0.9", "unknown": {"x": 1},
+  "bindAddresses": {"frontend": "10.1.0.9:1", "readiness": "10.1.0.9:2",
+                    "admin": "10.1.0.9:3"},
+  "internalPorts": [7380, 7395],
+  "seeds": ["10.2.0.1:3"],
+  "bounds": {"retryBudgetRatio": 0.3, "budgetMinRetries": 7,
+             "budgetWindowS": 5, "graceS": 4},
+  "platform": {"address": "10.200.1.7:8102"}
+})";
+
+class settings_file {
+ public:
+  explicit settings_file(const std::string& text) : path_(std::tmpnam(nullptr)) {
+    std::ofstream(path_) << text;
+  }
+  ~settings_file() { static_cast<void>(std::remove(path_.c_str())); }
+  const std::string& Path() const { return path_; }
+
+ private:
+  std::string path_;
+};
+
+std::vector<fault> FaultsOf(const std::string& path) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<std::vector<fault>> {
+        BOOST_LEAF_CHECK(platform::ReadSettings(path));
+        return std::vector<fault>{};
+      },
+      [](const fault_list& found) { return found.faults; },
+      [] { return std::vector<fault>{{.message = "no list"}}; });
+}
+
+std::string Without(std::string text, const std::string& part) {
+  const auto at = text.find(part);
+  BOOST_REQUIRE(at != std::string::npos);
+  return text.erase(at, part.size());
+}
+
+BOOST_AUTO_TEST_CASE(SettingsAreReadAndUnknownFieldsIgnored) {
+  const settings_file file(kSettings);
+  const auto read = platform::ReadSettings(file.Path());
+  BOOST_REQUIRE(read);
+  const router_settings& made = read.value();
+  BOOST_TEST(made.name == "n1");
+  BOOST_TEST(made.failure_domain == "z1");
+  BOOST_TEST(Format(made.caller_address) == "10.1.0.9:1");
+  BOOST_TEST(Format(made.peer_address) == "10.1.0.9:7380");
+  BOOST_TEST(Format(made.seeds.at(0)) == "10.2.0.1:7380");
+  BOOST_TEST(Format(made.store_address) == "10.200.1.7:8102");
+  BOOST_TEST(made.retry.ratio == 0.3);
+  BOOST_TEST(made.retry.fixed == 7);
+  BOOST_TEST((made.retry.window == milliseconds(5000)));
+  BOOST_TEST((made.grace == milliseconds(4000)));
+}
+
+BOOST_AUTO_TEST_CASE(AllFaultsAreToldWithFileAndKey) {
+  std::string text = Without(kSettings, R"("zone": "z1", )");
+  text = Without(text, R"(10.200.1.7:8102)");
+  text.insert(text.find("5,"), "\"").insert(text.find("5,") + 1, "\"");
+  const settings_file file(text);
+  const auto faults = FaultsOf(file.Path());
+  BOOST_REQUIRE(faults.size() >= 2U);
+  std::set<std::string> keys;
+  for (const fault& each : faults) {
+    BOOST_TEST(each.file == file.Path());
+    keys.insert(each.key);
+  }
+  BOOST_TEST(keys.contains("zone"));
+}
+
+BOOST_AUTO_TEST_CASE(ASyntaxErrorHasItsLine) {
+  const settings_file file("{\n\"nodeName\": \"n1\",\n oops}");
+  const auto faults = FaultsOf(file.Path());
+  BOOST_REQUIRE(faults.size() == 1U);
+  BOOST_TEST(faults.front().line == 3);
+}
+
+BOOST_AUTO_TEST_CASE(AMissingFileIsTold) {
+  BOOST_TEST(FaultsOf("/nonexistent/x.json").size() == 1U);
+}
+
+object_snapshot Snapshot(const std::string& name, const std::string& content) {
+  return {.revision = 1,
+          .objects = {{name,
+                       {.name = name,
+                        .content = nlohmann::json::parse(content)}}}};
+}
+
+constexpr const char* kRouting = R"({"version": 9, "routes": [
+  {"name": "all", "host": "h", "pathPrefix": "/a/", "type": "safe",
+   "timeoutMs": 300, "targetLatencyMs": 60, "priority": 2, "maxAttempts": 2,
+   "gather": ["s1", "s2"], "topK": 5, "minCoverage": 0.75},
+  {"name": "one", "host": "h", "pathPrefix": "/b/", "type": "unsafe",
+   "timeoutMs": 3000, "service": "s3"},
+  {"name": "split", "host": "h", "pathPrefix": "/c/", "type": "safe",
+   "timeoutMs": 3000, "trafficSplit": [{"service": "s3", "weight": 3},
+                                       {"service": "s4", "weight": 1}]}],
+ "services": [{"name": "s1", "healthPath": "/healthz", "maxConnections": 26,
+               "warmupS": 3.0, "warmupPerS": 0.0}],
+ "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144,
+            "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}})";
+
+BOOST_AUTO_TEST_CASE(RoutesBecomeTheProductsOwn) {
+  const auto contents = platform::MakeBinding().contents;
+  const auto table = contents->Routing(Snapshot("main", kRouting));
+  BOOST_REQUIRE(table);
+  BOOST_TEST(table->Version() == 9U);
+  const route* all = table->Find("h", "/a/1");
+  BOOST_REQUIRE(all != nullptr);
+  BOOST_TEST(all->idempotent);
+  BOOST_TEST(all->shards == (std::vector<std::string>{"s1", "s2"}));
+  BOOST_TEST(all->least_coverage == 0.75);
+  BOOST_TEST(all->most_records == 5U);
+  BOOST_TEST((all->objective == milliseconds(60)));
+  const route* one = table->Find("h", "/b/1");
+  BOOST_TEST(!one->idempotent);
+  BOOST_TEST(one->services.at(0).service == "s3");
+  BOOST_TEST((one->objective == milliseconds(3000)));
+  BOOST_TEST(table->Find("h", "/c/1")->services.size() == 2U);
+  BOOST_TEST(table->Service("s1")->max_connections == 26U);
+  BOOST_TEST((table->Limits().idle_timeout == milliseconds(15000)));
+}
+
+BOOST_AUTO_TEST_CASE(RoutingThatCannotBeReadIsNoTable) {
+  const auto contents = platform::MakeBinding().contents;
+  BOOST_TEST(!contents->Routing(Snapshot("main", R"({"version": "x"})")));
+  BOOST_TEST(!contents->Routing(Snapshot("main", "[]")));
+  BOOST_TEST(!contents->Routing(Snapshot("other", kRouting)));
+}
+
+BOOST_AUTO_TEST_CASE(EntriesOfOtherWritersNameNoServer) {
+  const auto contents = platform::MakeBinding().contents;
+  const std::string good =
+      R"({"service": "s", "address": "10.0.0.1:80", "zone": "z", "slots": 2,
+          "state": "ready", "warmupLeftMs": 0, "sequence": 4, "born": 17})";
+  const auto servers = contents->Servers(Snapshot("i-1", good));
+  BOOST_REQUIRE(servers.size() == 1U);
+  BOOST_TEST(servers[0].id == "i-1");
+  BOOST_TEST(servers[0].started_at_ms == 17);
+  const std::vector<std::pair<std::string, std::string>> changes = {
+      {R"("service": "s")", R"("service": 5)"},
+      {R"("service": "s", )", ""},
+      {R"("10.0.0.1:80")", R"("nowhere")"},
+      {R"("10.0.0.1:80")", R"("10.0.0.1:99999")"},
+      {R"("slots": 2)", R"("slots": 0)"},
+      {R"("slots": 2)", R"("slots": "2")"},
+      {R"("state": "ready")", R"("state": "asleep")"},
+      {R"("state": "ready")", R"("state": null)"},
+      {R"("born": 17)", R"("born": "soon")"},
+  };
+  for (const auto& [from, to] : changes) {
+    std::string bad = good;
+    bad.replace(bad.find(from), from.size(), to);
+    BOOST_TEST(contents->Servers(Snapshot("i-1", bad)).empty(), bad);
+  }
+  BOOST_TEST(contents->Servers(Snapshot("i-1", "null")).empty());
+  BOOST_TEST(contents->Servers(Snapshot("i-1", "[1]")).empty());
+}
+
+BOOST_AUTO_TEST_CASE(TheStoresAnswersAreDecodedOrRefused) {
+  const auto wire = platform::MakeBinding().dialect;
+  BOOST_TEST(wire->WatchTarget("servers", 530, milliseconds(20000)) ==
+             "/basilhoist/objects/servers?watch=530&waitMs=20000");
+  const auto page = wire->DecodePage(
+      R"({"items": [{"meta": {"name": "a", "revision": 3}, "spec": {"x": 1}}],
+          "hasMore": true, "currentRev": 530})");
+  BOOST_REQUIRE(page);
+  BOOST_TEST(page->has_more);
+  BOOST_TEST(page->revision == 530U);
+  BOOST_TEST(page->objects.at(0).name == "a");
+  const auto events = wire->DecodeEvents(
+      R"({"events": [{"deleted": true, "object": {"meta": {"name": "a"}}}],
+          "currentRev": 533})");
+  BOOST_REQUIRE(events);
+  BOOST_TEST(events->events.at(0).deleted);
+  BOOST_TEST(!wire->DecodePage("{}"));
+  BOOST_TEST(!wire->DecodePage("not json"));
+  BOOST_TEST(!wire->DecodeEvents(R"({"events": [{}], "currentRev": 1})"));
+}
+
+}  // namespace
+}  // namespace basilhoist
--- /dev/null
+++ b/tests/routing_table_test.cc
@@ -0,0 +1,85 @@
+// Which route a request takes, and how a split shares requests out.
+#include "basilhoist/routing/routing_table.h"
+
+#include <rapidcheck/boost_test.h>
+
+#include <boost/test/unit_test.hpp>
+#include <cmath>
+
+namespace basilhoist {
+namespace {
+
+routing_table Table() {
+  return routing_table(
+      {.version = 7,
+       .routes = {{.name = "short", .host = "a.example", .path_prefix = "/x/"},
+                  {.name = "long", .host = "A.example", .path_prefix = "/x/y/"},
+                  {.name = "other", .host = "b.example", .path_prefix = "/"}},
+       .services = {{.name = "s", .max_connections = 26}}});
+}
+
+std::string Found(std::string_view host, std::string_view target) {
+  const routing_table table = Table();
+  const route* found = table.Find(host, target);
+  return found == nullptr ? "" : found->name;
+}
+
+BOOST_AUTO_TEST_CASE(TheLongestPrefixOfTheHostWins) {
+  BOOST_TEST(Found("a.example", "/x/y/z") == "long");
+  BOOST_TEST(Found("a.example", "/x/yy") == "short");
+  BOOST_TEST(Found("a.example", "/x/y") == "short");
+  BOOST_TEST(Found("b.example", "/x/y/z") == "other");
+  BOOST_TEST(Found("a.example", "/").empty());
+  BOOST_TEST(Found("c.example", "/x/").empty());
+}
+
+BOOST_AUTO_TEST_CASE(HostsCompareWithoutCaseAndPort) {
+  BOOST_TEST(Found("A.EXAMPLE:8080", "/x/1") == "short");
+}
+
+BOOST_AUTO_TEST_CASE(AQueryIsNoPartOfThePath) {
+  BOOST_TEST(Found("a.example", "/x?/x/y/").empty());
+  BOOST_TEST(Found("a.example", "/x/?q=/x/y/") == "short");
+}
+
+BOOST_AUTO_TEST_CASE(ServicesAreFoundByName) {
+  const routing_table table = Table();
+  BOOST_REQUIRE(table.Service("s") != nullptr);
+  BOOST_TEST(table.Service("s")->max_connections == 26U);
+  BOOST_TEST(table.Service("t") == nullptr);
+}
+
+// In every run of requests each service is at most two requests off its
+// share.
+RC_BOOST_PROP(SplitsKeepToTheirWeights, ()) {
+  const auto weights = *rc::gen::nonEmpty(
+      rc::gen::container<std::vector<int>>(rc::gen::inRange(1, 20)));
+  RC_PRE(weights.size() <= 6);
+  route split{.name = "r"};
+  double sum = 0;
+  for (std::size_t i = 0; i < weights.size(); ++i) {
+    split.services.push_back({.service = std::to_string(i),
+                              .weight = static_cast<double>(weights[i])});
+    sum += weights[i];
+  }
+  weighted_turns turns;
+  std::map<std::string, int> counts;
+  for (int sent = 1; sent <= 300; ++sent) {
+    ++counts[turns.Next(split)];
+    for (const auto& each : split.services) {
+      RC_ASSERT(std::abs(counts[each.service] - sent * each.weight / sum) <=
+                2.0);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ChangedWeightsCountFromThen) {
+  weighted_turns turns;
+  route split{.name = "r", .services = {{"a", 1}, {"b", 0}}};
+  for (int i = 0; i < 10; ++i) BOOST_TEST(turns.Next(split) == "a");
+  split.services = {{"a", 0}, {"b", 1}};
+  for (int i = 0; i < 10; ++i) BOOST_TEST(turns.Next(split) == "b");
+}
+
+}  // namespace
+}  // namespace basilhoist
--- /dev/null
+++ b/tests/server_directory_test.cc
@@ -0,0 +1,121 @@
+// Which backend servers may be used, as entries come, change and vanish.
+#include "basilhoist/directory/server_directory.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace basilhoist {
+namespace {
+
+const instant kStart{std::chrono::seconds(100)};
+
+backend_server Server(const std::string& id, std::int64_t started_at_ms = 1) {
+  return {.id = id,
+          .service = "s",
+          .address = {.address = "10.0.0.1", .port = 80},
+          .failure_domain = "d1",
+          .slots = 2,
+          .started_at_ms = started_at_ms};
+}
+
+std::size_t Usable(const server_directory& directory) {
+  std::size_t count = 0;
+  for (const auto& each : directory.Of("s")) {
+    if (directory.MayUse(*each)) ++count;
+  }
+  return count;
+}
+
+struct fixture {
+  server_directory directory;
+  std::vector<std::string> gone;
+
+  fixture() {
+    directory.OnGone(
+        [this](const listed_server& s) { gone.push_back(s.info.id); });
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(AnEntryThatVanishesIsGoneAtOnce, fixture) {
+  directory.Apply({Server("a"), Server("b")}, false, kStart);
+  BOOST_TEST(Usable(directory) == 2U);
+  directory.Apply({Server("b")}, false, kStart);
+  BOOST_TEST(Usable(directory) == 1U);
+  BOOST_TEST(gone == std::vector<std::string>{"a"});
+}
+
+BOOST_FIXTURE_TEST_CASE(AnEntryMayLapseWhileTheStoreIsAway, fixture) {
+  directory.Apply({Server("a")}, false, kStart);
+  const auto before = directory.Of("s").front();
+  directory.Apply({}, true, kStart);
+  BOOST_TEST(Usable(directory) == 1U);
+  directory.Expire(kStart + server_directory::kLapseGrace - milliseconds(1));
+  BOOST_TEST(Usable(directory) == 1U);
+  // Back in time: the same run, with its connections and statistics.
+  directory.Apply({Server("a")}, false, kStart + milliseconds(2400));
+  directory.Expire(kStart + std::chrono::seconds(10));
+  BOOST_TEST((directory.Of("s").front() == before));
+  BOOST_TEST(gone.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(ALapsedEntryThatStaysAwayIsGone, fixture) {
+  directory.Apply({Server("a")}, false, kStart);
+  directory.Apply({}, true, kStart);
+  // Snapshots in between do not begin the grace again.
+  directory.Apply({}, true, kStart + milliseconds(2000));
+  BOOST_TEST(directory.Expire(kStart + server_directory::kLapseGrace));
+  BOOST_TEST(Usable(directory) == 0U);
+  BOOST_TEST(gone.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(ADrainingServerIsNeverKept, fixture) {
+  backend_server leaving = Server("a");
+  directory.Apply({leaving}, false, kStart);
+  leaving.draining = true;
+  directory.Apply({leaving}, false, kStart);
+  BOOST_TEST(Usable(directory) == 0U);
+  directory.Apply({}, true, kStart);
+  BOOST_TEST(directory.Size() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(ARestartUnderTheSameIdIsAnotherServer, fixture) {
+  directory.Apply({Server("a", 1)}, false, kStart);
+  const auto before = directory.Of("s").front();
+  directory.Apply({Server("a", 2)}, false, kStart);
+  const auto after = directory.Of("s").front();
+  BOOST_TEST(before->gone);
+  BOOST_TEST(!after->gone);
+  BOOST_TEST(before->key != after->key);
+}
+
+BOOST_FIXTURE_TEST_CASE(AnAddressUsedByAnotherServiceIsAnotherServer, fixture) {
+  directory.Apply({Server("a")}, false, kStart);
+  backend_server other = Server("b");
+  other.service = "t";
+  directory.Apply({other}, false, kStart);
+  BOOST_TEST(directory.Of("s").empty());
+  BOOST_TEST(directory.Of("t").size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AnEvacuatedDomainGetsNothing, fixture) {
+  directory.Apply({Server("a")}, false, kStart);
+  directory.SetEvacuated({"d1"});
+  BOOST_TEST(Usable(directory) == 0U);
+  directory.SetEvacuated({"d2"});
+  BOOST_TEST(Usable(directory) == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AnEntryThatOnlyBeatsKeepsItsColdTime, fixture) {
+  backend_server cold = Server("a");
+  cold.warmup_left = milliseconds(3000);
+  directory.Apply({cold}, false, kStart);
+  const instant until = kStart + milliseconds(3000);
+  directory.Apply({cold}, false, kStart + milliseconds(1000));
+  BOOST_TEST((directory.Of("s").front()->cold_until == until));
+  cold.warmup_left = milliseconds(0);
+  directory.Apply({cold}, false, kStart + milliseconds(1500));
+  BOOST_TEST((directory.Of("s").front()->cold_until ==
+              kStart + milliseconds(1500)));
+}
+
+}  // namespace
+}  // namespace basilhoist
--- /dev/null
+++ b/tests/service_call_test.cc
@@ -0,0 +1,259 @@
+// One request at one service: what is sent where, how often, and what is said
+// of it in the end.
+#include "basilhoist/dispatch/service_call.h"
+
+#include <rapidcheck/boost_test.h>
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+namespace basilhoist {
+namespace {
+
+const header_names kNames{.request_id = "X-Id",
+                          .time_left_ms = "X-Left",
+                          .target_server = "X-Target",
+                          .not_executed = "X-Not-Run",
+                          .signature = "X-Proof"};
+
+backend_reply Answer() {
+  return {.sent = true, .status = 200, .headers = {{"X-Proof", "p"}}};
+}
+backend_reply Shed() {
+  return {.sent = true, .status = 503, .headers = {{"X-Not-Run", "1"}}};
+}
+backend_reply Failure() {
+  return {.sent = true, .status = 500, .headers = {{"X-Proof", "p"}}};
+}
+backend_reply Broken() {
+  return {.fault = exchange_fault::kBroken, .sent = true};
+}
+backend_reply NeverSent() { return {.fault = exchange_fault::kNotConnected}; }
+
+// Backend servers as far as a call sees them.
+class fake_sender : public request_sender {
+ public:
+  struct sent_request {
+    std::string server;
+    std::string head;
+    bool fresh = false;
+    reply_handler done;
+  };
+
+  std::uint64_t Send(const listed_server& server, unsigned, bool fresh,
+                     backend_request request, reply_handler done) override {
+    sent.push_back({.server = server.info.id,
+                    .head = request.head,
+                    .fresh = fresh,
+                    .done = std::move(done)});
+    return sent.size();
+  }
+  bool HasRoom(const listed_server& server, unsigned) const override {
+    return !full.contains(server.info.id);
+  }
+  void Abandon(std::uint64_t id) override {
+    sent[id - 1].done = nullptr;
+    abandoned.push_back(id);
+  }
+
+  void Reply(std::size_t number, backend_reply reply) {
+    const auto done = std::move(sent.at(number).done);
+    sent.at(number).done = nullptr;
+    if (done) done(std::move(reply));
+  }
+
+  std::vector<sent_request> sent;
+  std::vector<std::uint64_t> abandoned;
+  std::set<std::string> full;
+};
+
+struct fixture {
+  event_loop loop;
+  fake_sender sender;
+  server_directory directory;
+  dispatcher shared{loop, sender, directory,
+                    {.names = kNames, .retry = {.ratio = 0.2, .fixed = 50}}};
+  std::vector<call_result> ended;
+  std::shared_ptr<service_call> call;
+
+  fixture() { List({"a", "b", "c"}); }
+
+  void List(const std::vector<std::string>& ids) {
+    std::vector<backend_server> servers;
+    for (const auto& id : ids) {
+      servers.push_back({.id = id, .service = "s", .slots = 2});
+    }
+    directory.Apply(servers, false, Now());
+  }
+
+  void Begin(bool idempotent, unsigned max_attempts = 2) {
+    auto request = std::make_shared<outbound_request>();
+    request->head = "GET / HTTP/1.1\r\n";
+    request->request_id = "r1";
+    request->route_name = "r";
+    request->idempotent = idempotent;
+    request->max_attempts = max_attempts;
+    request->objective = milliseconds(120);
+    request->deadline = Now() + milliseconds(600);
+    call = std::make_shared<service_call>(
+        shared, request, "s",
+        [this](call_result result) { ended.push_back(std::move(result)); });
+    call->Start();
+  }
+
+  void RunFor(int ms) {
+    loop.After(milliseconds(ms), [this] { loop.Stop(); });
+    loop.Run();
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(AnAnswerEndsTheCall, fixture) {
+  Begin(true);
+  BOOST_REQUIRE(sender.sent.size() == 1U);
+  BOOST_TEST(sender.sent[0].head.find("X-Target: " + sender.sent[0].server) !=
+             std::string::npos);
+  BOOST_TEST(sender.sent[0].head.ends_with("\r\n\r\n"));
+  sender.Reply(0, Answer());
+  BOOST_REQUIRE(ended.size() == 1U);
+  BOOST_TEST((ended[0].outcome == send_outcome::kAnswer));
+}
+
+BOOST_FIXTURE_TEST_CASE(AFailureGoesToAnotherServer, fixture) {
+  Begin(true);
+  sender.Reply(0, Failure());
+  BOOST_REQUIRE(sender.sent.size() == 2U);
+  BOOST_TEST(sender.sent[0].server != sender.sent[1].server);
+  sender.Reply(1, Answer());
+  BOOST_TEST((ended.at(0).outcome == send_outcome::kAnswer));
+}
+
+BOOST_FIXTURE_TEST_CASE(NoMoreServersThanTheRouteAllows, fixture) {
+  Begin(true, 2);
+  sender.Reply(0, Failure());
+  sender.Reply(1, Broken());
+  BOOST_TEST(sender.sent.size() == 2U);
+  BOOST_REQUIRE(ended.size() == 1U);
+  BOOST_TEST(ended[0].may_have_run);
+}
+
+BOOST_FIXTURE_TEST_CASE(ALateReplyBringsASecondSend, fixture) {
+  Begin(true);
+  RunFor(60);
+  BOOST_REQUIRE(sender.sent.size() == 2U);
+  sender.Reply(1, Answer());
+  BOOST_TEST((ended.at(0).outcome == send_outcome::kAnswer));
+  BOOST_TEST(sender.abandoned.empty());
+  // The first one is cut after a while.
+  RunFor(300);
+  BOOST_TEST(sender.abandoned == std::vector<std::uint64_t>{1});
+}
+
+BOOST_FIXTURE_TEST_CASE(WithoutABudgetThereIsNoSecondSend, fixture) {
+  shared.options.retry = {.ratio = 0, .fixed = 0};
+  Begin(true);
+  RunFor(80);
+  BOOST_TEST(sender.sent.size() == 1U);
+  sender.Reply(0, Failure());
+  BOOST_TEST(sender.sent.size() == 1U);
+  BOOST_TEST((ended.at(0).outcome == send_outcome::kServerFailure));
+}
+
+BOOST_FIXTURE_TEST_CASE(WhatMayHaveRunOnceIsNotSentAgain, fixture) {
+  for (const auto& unclear : {Broken(), Failure()}) {
+    sender.sent.clear();
+    ended.clear();
+    Begin(false, 3);
+    RunFor(60);
+    BOOST_TEST(sender.sent.size() == 1U);
+    BOOST_TEST(sender.sent[0].fresh);
+    sender.Reply(0, unclear);
+    BOOST_TEST(sender.sent.size() == 1U);
+    BOOST_REQUIRE(ended.size() == 1U);
+    BOOST_TEST(ended[0].may_have_run);
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(WhatSurelyDidNotRunMayBeSentAgain, fixture) {
+  Begin(false, 3);
+  sender.Reply(0, Shed());
+  BOOST_REQUIRE(sender.sent.size() == 2U);
+  sender.Reply(1, {.sent = true, .status = 421});
+  BOOST_REQUIRE(sender.sent.size() == 3U);
+  sender.Reply(2, Answer());
+  BOOST_TEST((ended.at(0).outcome == send_outcome::kAnswer));
+}
+
+BOOST_FIXTURE_TEST_CASE(ARefusedConnectionCostsNoBudget, fixture) {
+  shared.options.retry = {.ratio = 0, .fixed = 0};
+  Begin(true);
+  sender.Reply(0, NeverSent());
+  BOOST_REQUIRE(sender.sent.size() == 2U);
+  sender.Reply(1, Answer());
+  BOOST_TEST((ended.at(0).outcome == send_outcome::kAnswer));
+}
+
+BOOST_FIXTURE_TEST_CASE(WithoutAServerTheCallEndsAtOnce, fixture) {
+  List({});
+  Begin(true);
+  BOOST_REQUIRE(ended.size() == 1U);
+  BOOST_TEST(!ended[0].may_have_run);
+  BOOST_TEST((ended[0].retry_after > microseconds(0)));
+}
+
+BOOST_FIXTURE_TEST_CASE(AServerWithoutAConnectionIsWaitedFor, fixture) {
+  sender.full = {"a", "b", "c"};
+  Begin(true);
+  BOOST_TEST(sender.sent.empty());
+  BOOST_TEST(ended.empty());
+  sender.full.clear();
+  RunFor(20);
+  BOOST_TEST(sender.sent.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(ACancelledCallCutsItsSends, fixture) {
+  Begin(true);
+  call->Cancel();
+  BOOST_TEST(sender.abandoned == std::vector<std::uint64_t>{1});
+  RunFor(80);
+  BOOST_TEST(sender.sent.size() == 1U);
+  BOOST_TEST(ended.empty());
+}
+
+// Whatever servers do, a request that is not idempotent runs at most once,
+// and a result that denies it was run is true.
+RC_BOOST_FIXTURE_PROP(NeverRunsTwice, fixture, ()) {
+  Begin(false, *rc::gen::inRange(1U, 5U));
+  int runs = 0;
+  for (std::size_t i = 0; i < sender.sent.size() && i < 10; ++i) {
+    switch (*rc::gen::inRange(0, 5)) {
+      case 0:
+        ++runs;
+        sender.Reply(i, Answer());
+        break;
+      case 1:
+        ++runs;
+        sender.Reply(i, Failure());
+        break;
+      case 2:
+        ++runs;
+        sender.Reply(i, Broken());
+        break;
+      case 3:
+        sender.Reply(i, Shed());
+        break;
+      default:
+        sender.Reply(i, NeverSent());
+    }
+    RC_ASSERT(runs <= 1);
+  }
+  if (ended.empty()) RunFor(60);
+  for (const call_result& each : ended) {
+    const bool ran = each.may_have_run ||
+                     each.outcome == send_outcome::kAnswer ||
+                     each.outcome == send_outcome::kServerFailure;
+    RC_ASSERT(ran || runs == 0);
+  }
+}
+
+}  // namespace
+}  // namespace basilhoist
