--- a/apps/router.cc
+++ b/apps/router.cc
@@ -1,4 +1,6 @@
 // basilhoist-router: one router process on the users' platform.
+#include "basilhoist/router/router.h"
+
 #include <docopt/docopt.h>
 
 #include <cstdlib>
@@ -8,7 +10,6 @@
 
 #include "basilhoist/loop/event_loop.h"
 #include "basilhoist/ops/event_line.h"
-#include "basilhoist/router/router.h"
 #include "platform/binding.h"
 #include "platform/node_settings.h"
 
--- a/include/basilhoist/backend/backend_pool.h
+++ b/include/basilhoist/backend/backend_pool.h
@@ -13,7 +13,12 @@
 /// Keeps connections to each server and opens new ones up to a limit.
 class backend_pool : public request_sender {
  public:
-  explicit backend_pool(event_loop& loop) : loop_(loop) {}
+  /// All idle connections of a server but one close after so long. A machine
+  /// that loses power leaves its connections behind, and they count against
+  /// the server's limit until the server's own timeout.
+  static constexpr milliseconds kSurplusIdle{600};
+
+  explicit backend_pool(event_loop& loop);
 
   std::uint64_t Send(const listed_server& server, unsigned most, bool fresh,
                      backend_request request, reply_handler done) override;
@@ -32,6 +37,7 @@
   struct link {
     std::uint64_t number = 0;
     std::uint64_t request = 0;
+    instant idle_since;
     std::unique_ptr<backend_connection> connection;
   };
   struct server_links {
@@ -43,6 +49,7 @@
   link& OpenLink(const listed_server& server, server_links& links);
   void OnReply(std::uint64_t server_key, std::uint64_t number);
   void Remove(std::uint64_t server_key, std::uint64_t number);
+  void CloseSurplus();
 
   event_loop& loop_;
   std::unordered_map<std::uint64_t, server_links> by_server_;
--- a/include/basilhoist/dispatch/caller_request.h
+++ b/include/basilhoist/dispatch/caller_request.h
@@ -22,6 +22,13 @@
   instant objective_at;
 };
 
+/// A shard that an answer leaves out.
+struct missing_shard {
+  std::string service;
+  unsigned sends = 0;
+  microseconds oldest{0};  ///< Age of its oldest send that is in flight.
+};
+
 /// Why a request ended as it did, for logs and metrics.
 struct request_end {
   int status = 0;
@@ -29,6 +36,7 @@
   std::size_t shards = 0;
   std::size_t answered = 0;
   unsigned sends = 0;
+  std::vector<missing_shard> missing;
 };
 
 using request_end_handler = std::function<void(const request_end&)>;
--- a/include/basilhoist/dispatch/dispatcher.h
+++ b/include/basilhoist/dispatch/dispatcher.h
@@ -56,7 +56,8 @@
 /// Shared state of sends; requests come and go.
 struct dispatcher {
   dispatcher(event_loop& the_loop, request_sender& the_sender,
-             const server_directory& the_directory, dispatch_options the_options)
+             const server_directory& the_directory,
+             dispatch_options the_options)
       : loop(the_loop),
         sender(the_sender),
         directory(the_directory),
--- a/include/basilhoist/dispatch/header_names.h
+++ b/include/basilhoist/dispatch/header_names.h
@@ -7,11 +7,11 @@
 
 /// Names of headers between callers, the tier and backend servers.
 struct header_names {
-  std::string request_id;    ///< Of one attempt of a caller; echoed.
-  std::string time_left_ms;  ///< How long the sender will wait.
-  std::string target_server; ///< Id of the only server that may run it.
-  std::string not_executed;  ///< The server did not run the request.
-  std::string signature;     ///< The server's proof that the reply is its own.
+  std::string request_id;     ///< Of one attempt of a caller; echoed.
+  std::string time_left_ms;   ///< How long the sender will wait.
+  std::string target_server;  ///< Id of the only server that may run it.
+  std::string not_executed;   ///< The server did not run the request.
+  std::string signature;      ///< The server's proof that the reply is its own.
   std::string part_signatures;  ///< Proofs of the parts of a merged answer.
   std::string missing_shards;   ///< Shards that a merged answer leaves out.
   std::string warmup_left_ms;   ///< How long the server stays cold.
--- a/include/basilhoist/dispatch/reply_check.h
+++ b/include/basilhoist/dispatch/reply_check.h
@@ -10,12 +10,12 @@
 
 /// What became of one send.
 enum class send_outcome : std::uint8_t {
-  kAnswer,          ///< A success with its proof, whole.
-  kServerFailure,   ///< The server's own failure; it counts as run.
-  kShed,            ///< It did not run the request, for lack of room or time.
-  kWrongServer,     ///< Another server has the address; it did not run it.
-  kNeverSent,       ///< No connection; nothing was sent.
-  kUnclear,         ///< It may have run; there is no reply to use.
+  kAnswer,         ///< A success with its proof, whole.
+  kServerFailure,  ///< The server's own failure; it counts as run.
+  kShed,           ///< It did not run the request, for lack of room or time.
+  kWrongServer,    ///< Another server has the address; it did not run it.
+  kNeverSent,      ///< No connection; nothing was sent.
+  kUnclear,        ///< It may have run; there is no reply to use.
 };
 
 /// @return one short name for logs
--- a/include/basilhoist/dispatch/service_call.h
+++ b/include/basilhoist/dispatch/service_call.h
@@ -58,6 +58,11 @@
   void Leave();
 
   [[nodiscard]] const std::string& Service() const { return service_; }
+  [[nodiscard]] bool Answered() const { return answered_; }
+  [[nodiscard]] unsigned Sends() const { return sends_; }
+
+  /// @return the age of the oldest send in flight, or 0
+  [[nodiscard]] microseconds OldestSend(instant now) const;
 
  private:
   struct send {
@@ -92,6 +97,7 @@
   unsigned sends_ = 0;
   bool reached_ = false;  // a server was reached, so the next send is extra
   bool finished_ = false;
+  bool answered_ = false;
   instant soonest_;  // when an avoided server may be tried
   timer_id second_timer_ = 0;
   timer_id retry_timer_ = 0;
--- a/include/basilhoist/knowledge/peer_exchange.h
+++ b/include/basilhoist/knowledge/peer_exchange.h
@@ -20,7 +20,7 @@
   /// within three seconds is late.
   milliseconds period{500};
   /// Peers told in one round, drawn at random where there are more.
-  std::size_t fanout = 8;
+  std::size_t fanout = 3;
   std::uint64_t seed = 1;
 };
 
--- a/include/basilhoist/router/knowledge.h
+++ b/include/basilhoist/router/knowledge.h
@@ -24,9 +24,9 @@
     std::function<void(std::size_t)> on_instances;
   };
 
-  knowledge(event_loop& loop, http_client& http, const router_settings& settings,
-            platform_binding platform, server_directory& directory,
-            handlers on);
+  knowledge(event_loop& loop, http_client& http,
+            const router_settings& settings, platform_binding platform,
+            server_directory& directory, handlers on);
 
   [[nodiscard]] bool Bound() const { return peers_.Bound(); }
   void Start();
--- a/include/basilhoist/router/request_gate.h
+++ b/include/basilhoist/router/request_gate.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "basilhoist/dispatch/caller_request.h"
--- a/include/basilhoist/store/object.h
+++ b/include/basilhoist/store/object.h
@@ -62,8 +62,8 @@
   virtual ~object_dialect() = default;
 
   /// @param after name after which the page starts; empty for the first
-  [[nodiscard]] virtual std::string ListTarget(std::string_view kind,
-                                               std::string_view after) const = 0;
+  [[nodiscard]] virtual std::string ListTarget(
+      std::string_view kind, std::string_view after) const = 0;
   [[nodiscard]] virtual std::string WatchTarget(std::string_view kind,
                                                 std::uint64_t revision,
                                                 milliseconds wait) const = 0;
--- a/include/basilhoist/store/object_store.h
+++ b/include/basilhoist/store/object_store.h
@@ -66,10 +66,10 @@
 
  private:
   template <typename Value>
-  std::uint64_t Call(http_call call,
-                     std::optional<Value> (object_dialect::*decode)(
-                         std::string_view) const,
-                     answer<Value> done);
+  std::uint64_t Call(
+      http_call call,
+      std::optional<Value> (object_dialect::*decode)(std::string_view) const,
+      answer<Value> done);
 
   http_client& http_;
   object_store_options options_;
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -8,6 +8,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import time
 import urllib.error
@@ -22,6 +23,30 @@
 LINK_PORT = 8082
 STORE_PORT = 7000
 
+# Loopback networks are shared by all runs on the machine: each fleet claims
+# a slot of its own by a port that it keeps bound.
+SLOTS = 7
+SLOT_STEP = 32
+CLAIM_PORT = 7999
+LAST_LOG_LINES = 15
+
+
+class UnexpectedEnd(RuntimeError):
+    """A process ended though nobody ended it."""
+
+
+def claim_slot(net):
+    """Returns (number, socket) of a slot that no other fleet of this site has."""
+    for number in range(SLOTS):
+        claim = socket.socket()
+        try:
+            claim.bind((f"127.{net + SLOT_STEP * number}.0.254", CLAIM_PORT))
+            return number, claim
+        except OSError:
+            claim.close()
+    raise RuntimeError(f"all {SLOTS} slots of loopback addresses are taken")
+
+
 SITES = {
     "quetzal": {
         "overlay": ROOT / "examples" / "quetzal.json",
@@ -84,13 +109,34 @@
         self.sharing = sharing
         self.processes = {}
         self.files = []
-        net = self.info["net"]
-        self.store_address = f"127.{net + 20}.0.1"
+        slot, self.claim = claim_slot(self.info["net"])
+        self.net = self.info["net"] + SLOT_STEP * slot
+        self.overlay = self._moved_overlay()
+        self.store_address = f"127.{self.net + 20}.0.1"
         self.store = f"{self.store_address}:{STORE_PORT}"
         self.index_version = 0
 
+    def _moved_overlay(self):
+        """The overlay with backend servers in this fleet's own network."""
+        text = self.overlay.read_text().replace(
+            f"127.{self.info['net'] + 10}.", f"127.{self.net + 10}.")
+        moved = self.logs / f"{self.net}-{self.overlay.name}"
+        moved.write_text(text)
+        return moved
+
     # Processes.
 
+    def check_alive(self):
+        """Raises if a process has ended that nobody ended."""
+        for name, process in self.processes.items():
+            if process.poll() is None:
+                continue
+            log = self.logs / f"{self.site}-{name}.log"
+            lines = log.read_text(errors="replace").splitlines()
+            raise UnexpectedEnd(
+                f"{name} ended with code {process.returncode}; its last lines:"
+                "\n" + "\n".join(lines[-LAST_LOG_LINES:]))
+
     def _start(self, name, words):
         log = open(self.logs / f"{self.site}-{name}.log", "ab")
         self.files.append(log)
@@ -160,6 +206,13 @@
         return process.wait(timeout)
 
     def stop(self):
+        try:
+            self.check_alive()
+        finally:
+            self._end_all()
+
+    def _end_all(self):
+        self.claim.close()
         for process in self.processes.values():
             process.send_signal(signal.SIGCONT)
             process.kill()
@@ -172,20 +225,24 @@
     def __enter__(self):
         return self.start()
 
-    def __exit__(self, *_):
-        self.stop()
+    def __exit__(self, kind, *_):
+        # A failure inside is the first cause and is not to be covered.
+        if kind is None:
+            self.stop()
+        else:
+            self._end_all()
 
     # Addresses.
 
     def control(self, domain_index):
-        return f"127.{self.info['net'] + 10}.{domain_index}.250:9100"
+        return f"127.{self.net + 10}.{domain_index}.250:9100"
 
     def entry_name(self, number):
         return f"entry-{number + 1}"
 
     def entry_address(self, number):
         domain = number % len(self.info["domains"])
-        return f"127.{self.info['net']}.{domain}.{number // 4 + 1}"
+        return f"127.{self.net}.{domain}.{number // 4 + 1}"
 
     def entry(self, number):
         return f"{self.entry_address(number)}:{CALLER_PORT}"
@@ -331,10 +388,10 @@
                 return False
         return True
 
-    @staticmethod
-    def _wait(condition, timeout=15):
+    def _wait(self, condition, timeout=15):
         until = time.monotonic() + timeout
         while not condition():
+            self.check_alive()
             if time.monotonic() > until:
                 raise TimeoutError("a process did not get ready in time")
             time.sleep(0.05)
--- /dev/null
+++ b/scripts/platform_rig.py
@@ -0,0 +1,571 @@
+"""A platform on loopback: store, backend servers, callers, and real routers.
+
+Speaks the platform's published protocol, so that scripts/demo and the tests of
+whole processes play the platform path with no bench. Everything but the
+routers runs in this process, in one event loop on a thread of its own.
+"""
+
+import asyncio
+import hashlib
+import json
+import os
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import tempfile
+import threading
+import time
+import urllib.parse
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+ROUTER = ROOT / "build" / "basilhoist-router"
+
+CALLER_PORT, READY_PORT, OPS_PORT, PEER_PORT = 8104, 8108, 8106, 7380
+STORE_PORT, SERVER_PORT, CLAIM_PORT = 8102, 8080, 7998
+HEARTBEAT_MS = 1200
+HISTORY = 4000
+LAST_LOG_LINES = 15
+RECORD = 16
+OBJECTS = "/basilhoist/objects/"
+
+
+class UnexpectedEnd(RuntimeError):
+    """A router ended though nobody ended it."""
+
+
+def signature(server, request_id):
+    """A proof that a reply is this server's and for this request."""
+    text = f"{server}/{request_id}".encode()
+    return f"{server}.{hashlib.sha256(text).hexdigest()[:12]}"
+
+
+async def read_request(reader):
+    """Returns (method, target, headers, body), or None at the end."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    lines = head.decode("latin-1").split("\r\n")
+    method, target, _ = lines[0].split(" ", 2)
+    headers = {}
+    for line in lines[1:]:
+        if ":" in line:
+            name, value = line.split(":", 1)
+            headers[name.strip().lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return method, target, headers, body
+
+
+def reply_bytes(status, body=b"", headers=()):
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+class Store:
+    """Objects by kind and name, with watches and a bounded history."""
+
+    def __init__(self):
+        self.revision = 100
+        self.kinds = {}
+        self.events = []
+        self.dropped = 0
+        self.changed = asyncio.Event()
+        self.mode = "up"  # up, busy, silent, slow
+        self.cut = set()  # addresses that get no answer
+        self.calls = 0
+        self.writers = set()
+
+    def put(self, kind, name, spec):
+        self.revision += 1
+        made = {"meta": {"name": name, "revision": self.revision,
+                         "finalizers": [], "deleting": False},
+                "spec": spec, "status": None}
+        self.kinds.setdefault(kind, {})[name] = made
+        self._tell(kind, {"object": made, "deleted": False})
+        return made
+
+    def remove(self, kind, name):
+        made = self.kinds.get(kind, {}).pop(name, None)
+        if made:
+            self.revision += 1
+            gone = dict(made, meta=dict(made["meta"], revision=self.revision))
+            self._tell(kind, {"object": gone, "deleted": True})
+
+    def drop_history(self):
+        self.events.clear()
+        self.dropped = self.revision
+
+    def _tell(self, kind, event):
+        self.events.append((self.revision, kind, event))
+        del self.events[:-HISTORY]
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def serve(self, reader, writer):
+        peer = writer.get_extra_info("peername")[0]
+        self.writers.add(writer)
+        try:
+            while (request := await read_request(reader)) is not None:
+                self.calls += 1
+                if self.mode == "silent" or peer in self.cut:
+                    await asyncio.sleep(3600)
+                if self.mode == "slow":
+                    await asyncio.sleep(0.3)
+                if self.mode == "busy":
+                    writer.write(reply_bytes(503))
+                else:
+                    status, body = await self._answer(*request)
+                    writer.write(reply_bytes(status, json.dumps(body).encode()))
+                await writer.drain()
+        except (ConnectionError, asyncio.CancelledError):
+            pass  # the peer or the rig has ended
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def _answer(self, method, target, _, body):
+        url = urllib.parse.urlsplit(target)
+        query = dict(urllib.parse.parse_qsl(url.query))
+        if not url.path.startswith(OBJECTS):
+            return 404, {}
+        kind, _, name = url.path[len(OBJECTS):].partition("/")
+        objects = self.kinds.setdefault(kind, {})
+        if method == "GET" and "watch" in query:
+            return await self._watch(kind, int(query["watch"]),
+                                     int(query.get("waitMs", 0)))
+        if method == "GET" and not name:
+            names = sorted(n for n in objects if n > query.get("after", ""))
+            page = names[:50]
+            return 200, {"items": [objects[n] for n in page],
+                         "hasMore": len(names) > len(page),
+                         "currentRev": self.revision}
+        if method == "GET":
+            return (200, objects[name]) if name in objects else (404, {})
+        sent = json.loads(body)
+        if method == "POST":
+            name = sent["meta"]["name"]
+            if name in objects:
+                return 409, objects[name]
+        elif name not in objects:
+            return 404, {}
+        expected = sent["meta"].get("revision")
+        if method == "PUT" and expected not in (
+                None, objects[name]["meta"]["revision"]):
+            return 409, objects[name]
+        return 200, self.put(kind, name, sent["spec"])
+
+    async def _watch(self, kind, since, wait_ms):
+        until = time.monotonic() + wait_ms / 1000
+        while True:
+            if since < self.dropped:
+                return 410, {}
+            events = [event for revision, of, event in self.events
+                      if of == kind and revision > since]
+            left = until - time.monotonic()
+            if events or left <= 0:
+                return 200, {"events": events, "currentRev": self.revision}
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
+
+
+class Backend:
+    """One backend server: slots, a queue, proofs, and ways to misbehave."""
+
+    def __init__(self, rig, name, service, address, zone, slots=2,
+                 work_ms=10):
+        self.rig, self.id, self.service = rig, name, service
+        self.address, self.zone, self.slots = address, zone, slots
+        self.work_ms = work_ms
+        self.running = 0
+        self.queue = 12
+        self.free = asyncio.Semaphore(slots)
+        self.state = "ready"
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.mode = "well"  # well, shed, lost, reset, cut, extra, slow, fail
+        self.paused_until = 0.0
+        self.server = None
+        self.ran = []  # (request id, time)
+        self.cut_work = 0
+        self.writers = set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(
+            self._serve, self.address, SERVER_PORT)
+        self.enter()
+
+    async def stop(self):
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        await self.server.wait_closed()
+
+    def enter(self):
+        self.sequence += 1
+        self.rig.store.put("servers", self.id, {
+            "service": self.service,
+            "address": f"{self.address}:{SERVER_PORT}", "zone": self.zone,
+            "version": "v1", "slots": self.slots, "state": self.state,
+            "warmupLeftMs": 0, "sequence": self.sequence, "born": self.born})
+
+    def drain(self):
+        self.state = "draining"
+        self.enter()
+
+    async def _serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while (request := await read_request(reader)) is not None:
+                if not await self._handle(reader, writer, *request):
+                    break
+        except (ConnectionError, asyncio.CancelledError):
+            pass  # the peer or the rig has ended
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def _handle(self, reader, writer, _, target, headers, body):
+        request_id = headers.get("basilhoist-request-id", "")
+        echo = [("Basilhoist-Request-Id", request_id)]
+        if headers.get("basilhoist-target-instance", self.id) != self.id:
+            writer.write(reply_bytes(421, headers=[
+                ("Basilhoist-Instance-Id", self.id)]))
+            return True
+        if self.mode == "shed" or self.running >= self.slots + self.queue:
+            writer.write(reply_bytes(503, headers=[
+                *echo, ("Basilhoist-Not-Executed", "1")]))
+            return True
+        self.running += 1
+        work = asyncio.ensure_future(self._work(request_id))
+        gone = asyncio.ensure_future(self._closed(reader))
+        await asyncio.wait([work, gone], return_when=asyncio.FIRST_COMPLETED)
+        self.running -= 1
+        if not work.done():
+            self.cut_work += 1
+            work.cancel()
+            return False
+        gone.cancel()
+        return self._reply(writer, request_id, echo, target, body)
+
+    @staticmethod
+    async def _closed(reader):
+        while not reader.at_eof():
+            await asyncio.sleep(0.005)
+
+    async def _work(self, request_id):
+        async with self.free:
+            self.ran.append((request_id, time.time()))
+            pause = self.paused_until - time.monotonic()
+            factor = 12 if self.mode == "slow" else 1
+            await asyncio.sleep(max(0, pause) + self.work_ms * factor / 1000)
+
+    def _reply(self, writer, request_id, echo, target, body):
+        proof = ("Basilhoist-Server-Signature", signature(self.id, request_id))
+        if self.mode == "lost":
+            return False
+        if self.mode == "reset":
+            writer.transport.abort()
+            return False
+        if self.mode == "fail":
+            writer.write(reply_bytes(500, b"broken", [*echo, proof]))
+            return True
+        content = self.rig.records(self.id, target) + body
+        whole = reply_bytes(200, content, [*echo, proof])
+        if self.mode == "cut":
+            writer.write(whole[:-3])
+            return False
+        writer.write(whole + (whole if self.mode == "extra" else b""))
+        return True
+
+
+class Rig:
+    """One platform with routers; see the module's text."""
+
+    ZONES = ["z-a", "z-b", "z-c", "z-d"]
+    HOST = "rig.example"
+
+    def __init__(self, logs, routers=4, shards=6, replicas=2, singles=3,
+                 work_ms=10, seed=1, top=10):
+        self.logs = pathlib.Path(logs)
+        self.random = random.Random(seed)
+        self.net, self.claim = self._claim()
+        self.count = routers
+        self.processes = {}
+        self.files = []
+        self.version = 1
+        self.top = top
+        self.shape = (shards, replicas, singles, work_ms)
+        self.backends = {}
+        self.loop = asyncio.new_event_loop()
+        self.store_listener = None
+        self.thread = threading.Thread(target=self._run_loop, daemon=True)
+        self.thread.start()
+        self.store = self.do(self._make_store())
+
+    @staticmethod
+    def _claim():
+        """A loopback network that no other rig on this machine uses."""
+        for number in range(100, 220):
+            claim = socket.socket()
+            try:
+                claim.bind((f"127.240.{number}.254", CLAIM_PORT))
+                return f"127.{240 + number % 10}.{number}", claim
+            except OSError:
+                claim.close()
+        raise RuntimeError("all loopback networks of rigs are taken")
+
+    def _run_loop(self):
+        asyncio.set_event_loop(self.loop)
+        self.loop.run_forever()
+
+    def do(self, work):
+        """Runs a coroutine in the rig's loop and returns its result."""
+        return asyncio.run_coroutine_threadsafe(work, self.loop).result(30)
+
+    def call(self, function, *words):
+        """Calls a function in the rig's loop."""
+        async def run():
+            return function(*words)
+        return self.do(run())
+
+    async def _make_store(self):
+        store = Store()
+        self.store_listener = await asyncio.start_server(
+            store.serve, f"{self.net}.1", STORE_PORT)
+        return store
+
+    # Backend servers.
+
+    async def _add_backend(self, name, service, number, slots, work_ms):
+        made = Backend(self, name, service, f"{self.net}.{number + 50}",
+                       self.ZONES[number % len(self.ZONES)], slots, work_ms)
+        self.backends[name] = made
+        await made.start()
+        return made
+
+    def add_backend(self, name, service, number, slots=2, work_ms=10):
+        return self.do(self._add_backend(name, service, number, slots,
+                                         work_ms))
+
+    def crash(self, name):
+        """Ends a server; its entry stays for a while."""
+        self.do(self.backends[name].stop())
+
+    def of(self, service):
+        return [b for b in self.backends.values() if b.service == service]
+
+    def records(self, server, target):
+        """Records of a part, the same for one server and target."""
+        seed = f"{server}{target}".encode()
+        return b"".join(hashlib.md5(seed + bytes([i])).digest()
+                        for i in range(12))
+
+    # Routing.
+
+    def shards(self):
+        return [f"shard-{i}" for i in range(self.shape[0])]
+
+    def routing(self, version, **changes):
+        routes = [
+            {"name": "all", "host": self.HOST, "pathPrefix": "/all/",
+             "type": "safe", "timeoutMs": 800, "targetLatencyMs": 250,
+             "priority": 1, "gather": self.shards(), "maxAttempts": 2,
+             "topK": self.top, "minCoverage": 0.6},
+            {"name": "get", "host": self.HOST, "pathPrefix": "/get/",
+             "type": "safe", "timeoutMs": 2000, "targetLatencyMs": 500,
+             "priority": 2, "service": "single", "maxAttempts": 2},
+            {"name": "once", "host": self.HOST, "pathPrefix": "/once/",
+             "type": "unsafe", "timeoutMs": 2000, "targetLatencyMs": 500,
+             "priority": 2, "service": "single", "maxAttempts": 2}]
+        services = [{"name": name, "healthPath": "/healthz",
+                     "maxConnections": 26, "protocol": "h1", "tls": False,
+                     "warmupS": 3.0, "warmupPerS": 0.0}
+                    for name in [*self.shards(), "single"]]
+        return {"version": version, "routes": routes, "services": services,
+                "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144,
+                           "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+                **changes}
+
+    def publish(self, **changes):
+        self.version += 3
+        self.call(self.store.put, "config", "main",
+                  self.routing(self.version, **changes))
+        return self.version
+
+    # Routers.
+
+    def router_address(self, number):
+        return f"{self.net}.{number + 10}"
+
+    def settings(self, number):
+        ip = self.router_address(number)
+        return {
+            "nodeName": f"router-{number}", "role": "router",
+            "ip": ip, "zone": self.ZONES[number % len(self.ZONES)],
+            "bindAddresses": {"frontend": f"{ip}:{CALLER_PORT}",
+                              "readiness": f"{ip}:{READY_PORT}",
+                              "admin": f"{ip}:{OPS_PORT}"},
+            "internalPorts": [PEER_PORT, PEER_PORT + 15],
+            "seeds": [f"{self.router_address(n)}:{OPS_PORT}"
+                      for n in range(min(3, self.count))],
+            "bounds": {"graceS": 6, "retryBudgetRatio": 0.2,
+                       "budgetWindowS": 10, "budgetMinRetries": 56},
+            "platform": {"address": f"{self.net}.1:{STORE_PORT}"}}
+
+    def start_router(self, number):
+        path = self.logs / f"router-{number}.json"
+        path.write_text(json.dumps(self.settings(number)))
+        log = open(self.logs / f"router-{number}.log", "ab")
+        self.files.append(log)
+        self.processes[number] = subprocess.Popen(
+            [str(ROUTER)], stdout=log, stderr=log, cwd=ROOT,
+            env={**os.environ, "BASILHOIST_NODE_FILE": str(path)})
+
+    def start(self, first_version=True):
+        shards, replicas, singles, work_ms = self.shape
+        if first_version:
+            self.publish()
+        number = 0
+        for shard in range(shards):
+            for replica in range(replicas):
+                self.add_backend(f"s{shard}-{replica}", f"shard-{shard}",
+                                 number, work_ms=work_ms)
+                number += 1
+        for single in range(singles):
+            self.add_backend(f"one-{single}", "single", number, 3, work_ms)
+            number += 1
+        for router in range(self.count):
+            self.start_router(router)
+        if first_version:
+            self.wait_ready()
+        return self
+
+    def ready(self, number):
+        return ask(self.router_address(number), READY_PORT, "GET",
+                   "/basilhoist/readyz", timeout=1)[0] == 200
+
+    def wait_ready(self, timeout=15):
+        self.wait(lambda: all(self.ready(n) for n in self.processes), timeout)
+
+    def wait(self, condition, timeout=15):
+        until = time.monotonic() + timeout
+        while not condition():
+            self.check_alive()
+            if time.monotonic() > until:
+                raise TimeoutError("what was waited for did not come in time")
+            time.sleep(0.03)
+
+    def check_alive(self):
+        for number, process in self.processes.items():
+            if process.poll() is None:
+                continue
+            log = self.logs / f"router-{number}.log"
+            lines = log.read_text(errors="replace").splitlines()
+            raise UnexpectedEnd(
+                f"router {number} ended with code {process.returncode}:\n"
+                + "\n".join(lines[-LAST_LOG_LINES:]))
+
+    def kill(self, number):
+        process = self.processes.pop(number)
+        process.kill()
+        process.wait()
+
+    def terminate(self, number):
+        """Asks a router to end; returns its process."""
+        process = self.processes.pop(number)
+        process.send_signal(signal.SIGTERM)
+        return process
+
+    def stop(self):
+        try:
+            self.check_alive()
+        finally:
+            for process in self.processes.values():
+                process.kill()
+                process.wait()
+            self.processes.clear()
+            self.claim.close()
+            for file in self.files:
+                file.close()
+            self.do(self._end_tasks())
+            self.loop.call_soon_threadsafe(self.loop.stop)
+            self.thread.join(10)
+            self.loop.close()
+
+    async def _end_tasks(self):
+        self.store_listener.close()
+        for backend in self.backends.values():
+            backend.server.close()
+        own = asyncio.current_task()
+        tasks = [each for each in asyncio.all_tasks() if each is not own]
+        for each in tasks:
+            each.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def dump(self, number):
+        status, _, body = ask(self.router_address(number), OPS_PORT, "GET",
+                              "/dump")
+        return json.loads(body) if status == 200 else {}
+
+    # Callers.
+
+    def ask(self, number, path, method="GET", body=b"", request_id=None,
+            wait_ms=800, timeout=5):
+        """Returns (status, headers, body) of one request."""
+        name = request_id or f"{self.random.getrandbits(64):016x}"
+        return ask(self.router_address(number), CALLER_PORT, method, path,
+                   body, timeout,
+                   {"Host": self.HOST, "Basilhoist-Request-Id": name,
+                    "Basilhoist-Timeout-Ms": str(wait_ms)})
+
+    def expected_records(self, parts, target):
+        """The greatest records of the servers that the parts name."""
+        names = [part.strip().rsplit(".", 1)[0] for part in parts.split(",")]
+        records = []
+        for name in names:
+            raw = self.records(name, target)
+            records += [raw[i:i + RECORD] for i in range(0, len(raw), RECORD)]
+        return b"".join(sorted(records, reverse=True)[:self.top])
+
+
+def ask(address, port, method, path, body=b"", timeout=5, headers=None):
+    """One request on a new connection; status 0 means no whole answer."""
+    lines = [f"{method} {path} HTTP/1.1"]
+    sent = {"Host": "rig", "Connection": "close", **(headers or {})}
+    if body or method == "POST":
+        sent["Content-Length"] = str(len(body))
+    lines += [f"{name}: {value}" for name, value in sent.items()]
+    try:
+        with socket.create_connection((address, port), timeout) as link:
+            link.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+            raw = b""
+            while chunk := link.recv(65536):
+                raw += chunk
+    except OSError:
+        return 0, {}, b""
+    return parse_answer(raw)
+
+
+def parse_answer(raw):
+    head, found, content = raw.partition(b"\r\n\r\n")
+    if not found:
+        return 0, {}, b""
+    lines = head.decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        headers[name.strip().lower()] = value.strip()
+    if len(content) < int(headers.get("content-length", 0)):
+        return 0, {}, b""
+    return int(lines[0].split()[1]), headers, content
+
+
+def open_rig(**options):
+    """Returns (rig, folder of its logs)."""
+    logs = tempfile.TemporaryDirectory()
+    return Rig(logs.name, **options), logs
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -4,13 +4,25 @@
 import concurrent.futures
 import os
 import pathlib
+import re
 import subprocess
 import sys
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BUILD = ROOT / "build"
-SOURCE_FOLDERS = ("include", "src", "apps", "standins", "benchmarks", "tests")
+SOURCE_FOLDERS = ("include", "src", "apps", "standins", "benchmarks", "tests",
+                  "platform")
+# What only platform/ may know; the tests of that folder use the names too.
+PRODUCT_FOLDERS = ("include", "src", "apps", "standins", "benchmarks")
+PLATFORM_NAMES = re.compile(
+    "Basilhoist-|BASILHOIST_NODE_FILE|/basilhoist/|\\b(" + "|".join((
+        "nodeName", "bindAddresses", "internalPorts", "pathPrefix",
+        "trafficSplit", "timeoutMs", "targetLatencyMs", "maxAttempts", "topK",
+        "minCoverage", "healthPath", "maxConnections", "warmupS", "warmupPerS",
+        "warmupLeftMs", "currentRev", "hasMore", "waitMs", "retryBudgetRatio",
+        "budgetMinRetries", "budgetWindowS", "graceS",
+        "maxHeaderBytes", "maxBodyBytes", "idleTimeoutMs")) + ")\\b")
 TEST_TIMEOUT_S = 600
 
 
@@ -35,6 +47,21 @@
     return code == 0, text
 
 
+def check_names():
+    """The platform's names stand in its own folder and nowhere else."""
+    faults = []
+    for folder in PRODUCT_FOLDERS:
+        for path in sorted((ROOT / folder).rglob("*")):
+            if path.suffix not in (".h", ".cc"):
+                continue
+            for number, line in enumerate(path.read_text().splitlines(), 1):
+                found = PLATFORM_NAMES.search(line)
+                if found:
+                    faults.append(f"{path.relative_to(ROOT)}:{number}: "
+                                  f"{found.group()}")
+    return not faults, "\n".join(faults)
+
+
 def lint_file(path):
     code, text = run(["clang-tidy", "--quiet", "-p", BUILD / "lint", path])
     if code == 0:
@@ -76,7 +103,8 @@
     arguments = parser.parse_args()
     red = known_red()
     passed, failed, expected = 0, [], []
-    checks = [("format", check_format), ("lint", check_lint)]
+    checks = [("format", check_format), ("names", check_names),
+              ("lint", check_lint)]
     for name, check in checks:
         began = time.monotonic()
         good, text = check()
--- a/src/backend/backend_connection.cc
+++ b/src/backend/backend_connection.cc
@@ -179,8 +179,7 @@
   void Parse() {
     while (!input.empty()) {
       boost::system::error_code error;
-      const std::size_t used =
-          parser->put(boost::asio::buffer(input), error);
+      const std::size_t used = parser->put(boost::asio::buffer(input), error);
       input.erase(0, used);
       if (error == http::error::need_more) {
         if (used == 0 || input.empty()) return;
@@ -216,9 +215,8 @@
     reply.status = static_cast<int>(message.result_int());
     std::optional<milliseconds> stated;
     for (const auto& field : message) {
-      reply.headers.push_back(
-          {.name = std::string(field.name_string()),
-           .value = std::string(field.value())});
+      reply.headers.push_back({.name = std::string(field.name_string()),
+                               .value = std::string(field.value())});
       if (field.name() == http::field::keep_alive) {
         stated = StatedIdleTimeout(field.value());
       }
@@ -291,8 +289,8 @@
   self.PrepareParser();
   if (self.at != state::phase::kReady) return;
   // A write that fails must not call back from inside Send.
-  const auto put = send(self.fd, self.output.data(), self.output.size(),
-                        MSG_NOSIGNAL);
+  const auto put =
+      send(self.fd, self.output.data(), self.output.size(), MSG_NOSIGNAL);
   if (put > 0) {
     self.sent = true;
     self.written = static_cast<std::size_t>(put);
--- a/src/backend/backend_pool.cc
+++ b/src/backend/backend_pool.cc
@@ -4,6 +4,15 @@
 #include <utility>
 
 namespace basilhoist {
+namespace {
+
+constexpr milliseconds kSurplusPeriod{200};
+
+}  // namespace
+
+backend_pool::backend_pool(event_loop& loop) : loop_(loop) {
+  loop_.Every(kSurplusPeriod, [this] { CloseSurplus(); });
+}
 
 std::uint64_t backend_pool::Send(const listed_server& server, unsigned most,
                                  bool fresh, backend_request request,
@@ -82,11 +91,10 @@
                                            server_links& links) {
   const std::uint64_t number = ++opened_;
   const std::uint64_t key = server.key;
-  links.links.push_back(
-      {.number = number,
-       .connection = std::make_unique<backend_connection>(
-           loop_, server.info.address,
-           [this, key, number] { Remove(key, number); })});
+  links.links.push_back({.number = number,
+                         .connection = std::make_unique<backend_connection>(
+                             loop_, server.info.address,
+                             [this, key, number] { Remove(key, number); })});
   return links.links.back();
 }
 
@@ -99,6 +107,7 @@
       [number](const link& each) { return each.number == number; });
   if (at == links.end()) return;
   at->request = 0;
+  at->idle_since = Now();
   std::rotate(at, at + 1, links.end());
   // The connection is still on the stack here, so it is removed later.
   if (found->second.gone) {
@@ -115,4 +124,17 @@
   if (links.empty()) by_server_.erase(found);
 }
 
+// The latest used connection stands last and stays.
+void backend_pool::CloseSurplus() {
+  const instant now = Now();
+  for (auto& [key, server] : by_server_) {
+    if (server.links.size() < 2) continue;
+    const std::uint64_t last = server.links.back().number;
+    std::erase_if(server.links, [now, last](const link& each) {
+      return each.request == 0 && each.number != last &&
+             now - each.idle_since > kSurplusIdle;
+    });
+  }
+}
+
 }  // namespace basilhoist
--- a/src/directory/server_directory.cc
+++ b/src/directory/server_directory.cc
@@ -60,9 +60,9 @@
 
 const std::vector<listed_server_ptr>& server_directory::Of(
     const std::string& service) const {
-  static const std::vector<listed_server_ptr> kNone;
+  static const std::vector<listed_server_ptr> none;
   const auto found = by_service_.find(service);
-  return found == by_service_.end() ? kNone : found->second;
+  return found == by_service_.end() ? none : found->second;
 }
 
 void server_directory::Rebuild() {
--- a/src/dispatch/answer_policy.cc
+++ b/src/dispatch/answer_policy.cc
@@ -9,9 +9,8 @@
 }  // namespace
 
 bool Covers(std::size_t answered, std::size_t shards, double least_coverage) {
-  return answered > 0 &&
-         static_cast<double>(answered) + kRounding >=
-             least_coverage * static_cast<double>(shards);
+  return answered > 0 && static_cast<double>(answered) + kRounding >=
+                             least_coverage * static_cast<double>(shards);
 }
 
 fan_out_decision DecideAnswer(const fan_out_progress& progress) {
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -27,8 +27,8 @@
   const double base = static_cast<double>(Usual(objective).count()) *
                       kDelayFactor *
                       (1 + (kPressureFactor - 1) * pressure * pressure);
-  return std::max<microseconds>(
-      kLeastDelay, microseconds(static_cast<std::int64_t>(base)));
+  return std::max<microseconds>(kLeastDelay,
+                                microseconds(static_cast<std::int64_t>(base)));
 }
 
 service_settings dispatcher::SettingsOf(const std::string& service) const {
--- a/src/dispatch/fan_out_run.cc
+++ b/src/dispatch/fan_out_run.cc
@@ -36,9 +36,8 @@
     calls_.reserve(shards.size());
     for (const std::string& shard : shards) {
       calls_.push_back(std::make_shared<service_call>(
-          shared_, request_.outbound, shard, [self](call_result result) {
-            self->OnPart(std::move(result));
-          }));
+          shared_, request_.outbound, shard,
+          [self](call_result result) { self->OnPart(std::move(result)); }));
     }
     // A call may end inside Start, and with it the whole request.
     for (std::size_t i = 0; i < calls_.size() && !ended_; ++i) {
@@ -60,7 +59,6 @@
  private:
   void OnPart(call_result result) {
     if (ended_) return;
-    sends_ += result.sends;
     if (result.outcome == send_outcome::kAnswer) {
       parts_.push_back(std::move(result.reply));
     } else {
@@ -104,24 +102,42 @@
         .body = MergeTopRecords(bodies, request_.matched->most_records)};
     reply.headers.push_back(
         {.name = names.part_signatures, .value = std::move(signatures)});
-    reply.headers.push_back(
-        {.name = names.missing_shards,
-         .value = std::to_string(shards - parts_.size())});
+    reply.headers.push_back({.name = names.missing_shards,
+                             .value = std::to_string(shards - parts_.size())});
     request_.exchange->Reply(std::move(reply));
     const std::size_t answered = parts_.size();
     End({.status = kOk,
-         .cause = answered == shards   ? "full"
+         .cause = answered == shards  ? "full"
                   : objective_passed_ ? "partial_at_objective"
                                       : "partial_rest_failed",
          .shards = shards,
          .answered = answered,
-         .sends = sends_});
+         .sends = Sends(),
+         .missing = Missing()});
+  }
+
+  [[nodiscard]] unsigned Sends() const {
+    unsigned sends = 0;
+    for (const auto& call : calls_) sends += call->Sends();
+    return sends;
+  }
+
+  [[nodiscard]] std::vector<missing_shard> Missing() const {
+    std::vector<missing_shard> missing;
+    const instant now = Now();
+    for (const auto& call : calls_) {
+      if (call->Answered()) continue;
+      missing.push_back({.service = call->Service(),
+                         .sends = call->Sends(),
+                         .oldest = call->OldestSend(now)});
+    }
+    return missing;
   }
 
   // The request may be repeated, so a part that ran does no harm; still only
   // a request of which no part was taken is said not to have run.
   void Refuse() {
-    const bool untouched = parts_.empty() && !may_have_run_ && sends_ == 0;
+    const bool untouched = parts_.empty() && !may_have_run_ && Sends() == 0;
     http_reply reply =
         untouched && !deadline_passed_
             ? NotRunReply(shared_.options.names, retry_after_,
@@ -134,7 +150,8 @@
          .cause = deadline_passed_ ? "deadline" : "too_few_shards",
          .shards = request_.matched->shards.size(),
          .answered = parts_.size(),
-         .sends = sends_});
+         .sends = Sends(),
+         .missing = Missing()});
   }
 
   void End(const request_end& end) {
@@ -151,7 +168,6 @@
   std::vector<std::shared_ptr<service_call>> calls_;
   std::vector<backend_reply> parts_;
   std::size_t failed_ = 0;
-  unsigned sends_ = 0;
   bool may_have_run_ = false;
   microseconds retry_after_{0};
   bool objective_passed_ = false;
--- a/src/dispatch/forward_run.cc
+++ b/src/dispatch/forward_run.cc
@@ -12,8 +12,9 @@
 // Headers of a reply that concern one connection, or that the HTTP server
 // sets itself.
 constexpr std::array<std::string_view, 9> kNotPassedBack = {
-    "Connection", "Keep-Alive", "Proxy-Connection",  "TE",  "Trailer",
-    "Upgrade",    "Date",       "Transfer-Encoding", "Content-Length"};
+    "Connection", "Keep-Alive",        "Proxy-Connection",
+    "TE",         "Trailer",           "Upgrade",
+    "Date",       "Transfer-Encoding", "Content-Length"};
 
 bool IsPassedBack(std::string_view name) {
   for (const std::string_view each : kNotPassedBack) {
@@ -47,11 +48,10 @@
     call_ = std::make_shared<service_call>(
         shared_, request_.outbound, service_,
         [self](call_result result) { self->OnDone(std::move(result)); });
-    deadline_timer_ = shared_.loop.At(request_.outbound->deadline,
-                                      [self] {
-                                        self->deadline_timer_ = 0;
-                                        self->OnDeadline();
-                                      });
+    deadline_timer_ = shared_.loop.At(request_.outbound->deadline, [self] {
+      self->deadline_timer_ = 0;
+      self->OnDeadline();
+    });
     call_->Start();
   }
 
@@ -68,7 +68,9 @@
     if (result.outcome == send_outcome::kAnswer) {
       const int status = result.reply.status;
       request_.exchange->Reply(PassBack(std::move(result.reply)));
-      End({.status = status, .cause = "answered", .answered = 1,
+      End({.status = status,
+           .cause = "answered",
+           .answered = 1,
            .sends = sends});
     } else if (result.outcome == send_outcome::kServerFailure) {
       const int status = result.reply.status;
--- a/src/dispatch/replica_choice.cc
+++ b/src/dispatch/replica_choice.cc
@@ -12,7 +12,7 @@
 // A failed send costs a second one.
 constexpr double kFailurePenalty = 6;
 // Bytes and delay between failure domains; far less than a busy slot.
-constexpr double kFarPenalty = 0.35;
+constexpr double kFarPenalty = 0.9;
 // Spreads what is equal over the replicas.
 constexpr double kTieSpread = 0.2;
 
@@ -21,8 +21,8 @@
 double ExpectedTime(const replica& value, double tie) {
   const server_standing& known = value.standing;
   double time = known.slowness * (value.cold ? kColdPenalty : 1);
-  time *= 1 + kQueueWeight * known.in_flight /
-                  (value.slots > 0 ? value.slots : 1);
+  time *=
+      1 + kQueueWeight * known.in_flight / (value.slots > 0 ? value.slots : 1);
   time += kFailurePenalty * known.failure_share;
   if (known.stalled) time += kStalledPenalty;
   if (!value.near) time += kFarPenalty;
--- a/src/dispatch/reply_check.cc
+++ b/src/dispatch/reply_check.cc
@@ -26,8 +26,7 @@
 }
 
 bool SurelyNotRun(send_outcome value) {
-  return value == send_outcome::kShed ||
-         value == send_outcome::kWrongServer ||
+  return value == send_outcome::kShed || value == send_outcome::kWrongServer ||
          value == send_outcome::kNeverSent;
 }
 
--- a/src/dispatch/retry_budget.cc
+++ b/src/dispatch/retry_budget.cc
@@ -46,9 +46,8 @@
   const auto size = static_cast<std::int64_t>(buckets_.size());
   for (std::int64_t steps = std::min(current - last_, size); steps > 0;
        --steps) {
-    bucket& oldest =
-        buckets_[static_cast<std::size_t>(current - steps + 1) %
-                 buckets_.size()];
+    bucket& oldest = buckets_[static_cast<std::size_t>(current - steps + 1) %
+                              buckets_.size()];
     requests_ -= oldest.requests;
     extras_ -= oldest.extras;
     oldest = {};
--- a/src/dispatch/server_stats.cc
+++ b/src/dispatch/server_stats.cc
@@ -31,8 +31,7 @@
                    [send](const pending& each) { return each.send == send; });
   if (at == known.sends.end()) return;
   const double took = static_cast<double>((now - at->since).count());
-  const double usual =
-      std::max(1.0, static_cast<double>(at->usual.count()));
+  const double usual = std::max(1.0, static_cast<double>(at->usual.count()));
   const double ratio = std::min(kMostSlowness, took / usual);
   known.sends.erase(at);
   const bool late = how == send_end::kAbandoned && ratio > known.slowness;
@@ -41,8 +40,8 @@
   }
   if (how == send_end::kAbandoned) return;
   const bool failed = how == send_end::kFailed || how == send_end::kBroken;
-  known.failure_share += kFailureWeight * ((failed ? 1 : 0) -
-                                           known.failure_share);
+  known.failure_share +=
+      kFailureWeight * ((failed ? 1 : 0) - known.failure_share);
   if (how == send_end::kBroken) {
     const unsigned doublings = std::min(known.broken_in_a_row++, 8U);
     known.avoid_until =
--- a/src/dispatch/service_call.cc
+++ b/src/dispatch/service_call.cc
@@ -63,6 +63,10 @@
   in_flight_.clear();
 }
 
+microseconds service_call::OldestSend(instant now) const {
+  return in_flight_.empty() ? microseconds(0) : now - in_flight_.front().since;
+}
+
 void service_call::Leave() {
   if (finished_) return;
   finished_ = true;
@@ -93,8 +97,8 @@
          .has_room = shared_.sender.HasRoom(*each, most)});
   }
   if (servers.empty()) return attempt::kNever;
-  const double tie = static_cast<double>(shared_.random()) /
-                     static_cast<double>(pcg32::max());
+  const double tie =
+      static_cast<double>(shared_.random()) / static_cast<double>(pcg32::max());
   const auto chosen = ChooseReplica(replicas, now, tie);
   if (!chosen) {
     soonest_ = now + request_->objective;
@@ -104,9 +108,8 @@
     }
     return attempt::kLater;
   }
-  if (reached_ &&
-      !shared_.budgets[service_].Spend(shared_.options.retry, shared_.instances,
-                                       now)) {
+  if (reached_ && !shared_.budgets[service_].Spend(shared_.options.retry,
+                                                   shared_.instances, now)) {
     ++shared_.counts.budget_refusals;
     return attempt::kNever;
   }
@@ -116,8 +119,8 @@
 
 std::string service_call::HeadFor(const listed_server& server) const {
   const header_names& names = shared_.options.names;
-  const auto left = std::chrono::duration_cast<milliseconds>(
-      request_->deadline - Now());
+  const auto left =
+      std::chrono::duration_cast<milliseconds>(request_->deadline - Now());
   std::string head;
   head.reserve(request_->head.size() + 128);
   head += request_->head;
@@ -132,15 +135,14 @@
   const std::uint64_t number = ++sends_;
   ++shared_.counts.sends;
   const std::uint64_t key = server.key;
-  const auto usual = shared_.timings[request_->route_name].Usual(
-      request_->objective);
+  const auto usual =
+      shared_.timings[request_->route_name].Usual(request_->objective);
   // Keys of sends must be unique in the statistics of a server.
   const std::uint64_t send_key = shared_.counts.sends;
   shared_.stats.OnSent(key, send_key, usual, now);
   dispatcher* shared = &shared_;
   const auto on_reply = [weak = weak_from_this(), shared, key, send_key, number,
-                         extra, now,
-                         request = request_](backend_reply reply) {
+                         extra, now, request = request_](backend_reply reply) {
     const auto outcome = JudgeReply(reply, shared->options.names);
     shared->stats.OnEnd(key, send_key, EndOf(outcome, reply), Now());
     if (outcome == send_outcome::kAnswer && !extra) {
@@ -153,17 +155,20 @@
   // A connection that was idle may turn out dead after the send; then it is
   // not known whether the request ran.
   const bool fresh = !request_->idempotent;
-  const std::uint64_t id = shared_.sender.Send(
-      server, shared_.ConnectionsTo(service_), fresh,
-      {.head = HeadFor(server),
-       .body = request_->body,
-       .is_head_method = request_->is_head_method,
-       .echo_header = shared_.options.names.request_id,
-       .echo_value = request_->request_id},
-      on_reply);
-  in_flight_.push_back(
-      {.number = number, .id = id, .server = key, .stats_key = send_key,
-       .extra = extra, .since = now});
+  const std::uint64_t id =
+      shared_.sender.Send(server, shared_.ConnectionsTo(service_), fresh,
+                          {.head = HeadFor(server),
+                           .body = request_->body,
+                           .is_head_method = request_->is_head_method,
+                           .echo_header = shared_.options.names.request_id,
+                           .echo_value = request_->request_id},
+                          on_reply);
+  in_flight_.push_back({.number = number,
+                        .id = id,
+                        .server = key,
+                        .stats_key = send_key,
+                        .extra = extra,
+                        .since = now});
   tried_.insert(key);
   reached_ = true;
   if (in_flight_.size() == 1) ArmSecondSend();
@@ -176,11 +181,10 @@
   const auto delay = shared_.timings[request_->route_name].SecondSendDelay(
       request_->objective, pressure);
   shared_.loop.Cancel(second_timer_);
-  second_timer_ =
-      shared_.loop.After(delay, [self = shared_from_this()] {
-        self->second_timer_ = 0;
-        self->OnSecondSendDue();
-      });
+  second_timer_ = shared_.loop.After(delay, [self = shared_from_this()] {
+    self->second_timer_ = 0;
+    self->OnSecondSendDue();
+  });
 }
 
 void service_call::OnSecondSendDue() {
@@ -189,14 +193,15 @@
 }
 
 void service_call::OnSendEnd(std::uint64_t number, backend_reply reply) {
-  const auto at =
-      std::find_if(in_flight_.begin(), in_flight_.end(),
-                   [number](const send& each) { return each.number == number; });
+  const auto at = std::find_if(
+      in_flight_.begin(), in_flight_.end(),
+      [number](const send& each) { return each.number == number; });
   if (finished_ || at == in_flight_.end()) return;
   const send ended = *at;
   in_flight_.erase(at);
   const auto outcome = JudgeReply(reply, shared_.options.names);
   if (outcome == send_outcome::kAnswer) {
+    answered_ = true;
     Finish({.outcome = outcome, .reply = std::move(reply)});
     return;
   }
@@ -240,11 +245,10 @@
       return;
     case attempt::kLater:
       if (soonest_ - Now() <= kShortWait) {
-        retry_timer_ =
-            shared_.loop.At(soonest_, [self = shared_from_this()] {
-              self->retry_timer_ = 0;
-              self->Continue();
-            });
+        retry_timer_ = shared_.loop.At(soonest_, [self = shared_from_this()] {
+          self->retry_timer_ = 0;
+          self->Continue();
+        });
         return;
       }
       last_.retry_after = soonest_ - Now();
--- a/src/ops/event_line.cc
+++ b/src/ops/event_line.cc
@@ -27,8 +27,8 @@
 }
 
 void WriteLine(const nlohmann::ordered_json& line) {
-  std::string text = line.dump(-1, ' ', false,
-                               nlohmann::json::error_handler_t::replace);
+  std::string text =
+      line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   text += '\n';
   // A reader that does not keep up loses lines; requests do not wait for it.
   if (write(STDOUT_FILENO, text.data(), text.size()) < 0) ++Sink().dropped;
--- a/src/router/knowledge.cc
+++ b/src/router/knowledge.cc
@@ -65,8 +65,9 @@
       on_(std::move(on)),
       store_(http, {.address = Format(settings.store_address),
                     .dialect = platform_.dialect}),
-      peers_(loop, {.self = settings.peer_address,
-                    .seed = std::hash<std::string>()(settings.name)},
+      peers_(loop,
+             {.self = settings.peer_address,
+              .seed = std::hash<std::string>()(settings.name)},
              {.fill = [this](peer_state& state) { Fill(state); },
               .on_state = [this](const peer_state& s) { OnPeer(s); }}),
       incarnation_(static_cast<std::uint64_t>(Now().SinceBoot().count())) {
@@ -81,8 +82,8 @@
 object_feed& knowledge::AddFeed(
     const std::string& kind,
     std::function<void(const object_feed&)> on_change) {
-  return *feeds_.emplace_back(std::make_unique<object_feed>(
-      loop_, store_, kind, std::move(on_change)));
+  return *feeds_.emplace_back(
+      std::make_unique<object_feed>(loop_, store_, kind, std::move(on_change)));
 }
 
 object_feed* knowledge::FeedOf(const std::string& kind) const {
@@ -105,8 +106,7 @@
 }
 
 bool knowledge::Ready() const {
-  return table_version_ > 0 &&
-         FeedOf(platform_.kinds.servers)->State().Known();
+  return table_version_ > 0 && FeedOf(platform_.kinds.servers)->State().Known();
 }
 
 std::string knowledge::SnapshotText(const std::string& kind) const {
@@ -129,9 +129,8 @@
 
 void knowledge::OnServers(const object_feed& feed) {
   const instant now = Now();
-  const bool lapse_possible =
-      feed.State().LastFailure() > instant() &&
-      now - feed.State().LastFailure() < kLapseWindow;
+  const bool lapse_possible = feed.State().LastFailure() > instant() &&
+                              now - feed.State().LastFailure() < kLapseWindow;
   directory_.Apply(platform_.contents->Servers(feed.State().Snapshot()),
                    lapse_possible, now);
   event_line("knowledge", "servers_taken")
@@ -141,8 +140,7 @@
 }
 
 void knowledge::OnEvacuations(const object_feed& feed) {
-  auto domains =
-      platform_.contents->EvacuatedDomains(feed.State().Snapshot());
+  auto domains = platform_.contents->EvacuatedDomains(feed.State().Snapshot());
   event_line("knowledge", "evacuations_taken")
       .With("domains", domains)
       .With("revision", feed.State().Snapshot().revision);
@@ -172,25 +170,25 @@
 }
 
 void knowledge::ListInstances(const std::string& after) {
-  store_.List(platform_.kinds.instances, after,
-              [this, after](call_outcome outcome, const object_page& page) {
-                if (outcome != call_outcome::kOk) {
-                  loop_.After(kRegisterRetry,
-                              [this, after] { ListInstances(after); });
-                  return;
-                }
-                for (const object& each : page.objects) {
-                  if (each.name == settings_.name) continue;
-                  if (!each.content.is_object()) continue;
-                  peers_.Know(ParseEndpoint(
-                      each.content.value("peer_address", std::string())));
-                }
-                CountInstances();
-                peers_.TellNow();
-                if (page.has_more && !page.objects.empty()) {
-                  ListInstances(page.objects.back().name);
-                }
-              });
+  store_.List(
+      platform_.kinds.instances, after,
+      [this, after](call_outcome outcome, const object_page& page) {
+        if (outcome != call_outcome::kOk) {
+          loop_.After(kRegisterRetry, [this, after] { ListInstances(after); });
+          return;
+        }
+        for (const object& each : page.objects) {
+          if (each.name == settings_.name) continue;
+          if (!each.content.is_object()) continue;
+          peers_.Know(
+              ParseEndpoint(each.content.value("peer_address", std::string())));
+        }
+        CountInstances();
+        peers_.TellNow();
+        if (page.has_more && !page.objects.empty()) {
+          ListInstances(page.objects.back().name);
+        }
+      });
 }
 
 void knowledge::OnPeer(const peer_state& state) {
@@ -204,16 +202,16 @@
   object_feed* feed = FeedOf(theirs.kind);
   if (feed == nullptr) return;
   const feed_state& ours = feed->State();
-  const bool behind = !ours.Known() ||
-                      (theirs.revision > ours.Snapshot().revision &&
-                       theirs.digest != feed->Digest());
+  const bool behind =
+      !ours.Known() || (theirs.revision > ours.Snapshot().revision &&
+                        theirs.digest != feed->Digest());
   if (!behind) {
     behind_since_.erase(theirs.kind);
     return;
   }
   const instant now = Now();
-  const instant since = behind_since_.try_emplace(theirs.kind, now)
-                            .first->second;
+  const instant since =
+      behind_since_.try_emplace(theirs.kind, now).first->second;
   if (!ours.Healthy() || !ours.Known()) {
     Fetch(theirs.kind, fetch_address);
   } else if (now - since > kBehindBeforeListing) {
@@ -232,18 +230,18 @@
   instant& last = fetched_at_[kind];
   if (last > instant() && now - last < kFetchEvery) return;
   last = now;
-  http_.Start({.url = "http://" + fetch_address + "/snapshots/" + kind,
-               .timeout = kFetchTimeout},
-              [this, kind](http_result& result) {
-                if (!result.Answered() || result.Status() != kHttpOk) return;
-                const auto snapshot = FromText(result.Body());
-                if (!snapshot) {
-                  event_line("knowledge", "snapshot_unreadable")
-                      .With("kind", kind);
-                  return;
-                }
-                FeedOf(kind)->Offer(*snapshot);
-              });
+  http_.Start(
+      {.url = "http://" + fetch_address + "/snapshots/" + kind,
+       .timeout = kFetchTimeout},
+      [this, kind](http_result& result) {
+        if (!result.Answered() || result.Status() != kHttpOk) return;
+        const auto snapshot = FromText(result.Body());
+        if (!snapshot) {
+          event_line("knowledge", "snapshot_unreadable").With("kind", kind);
+          return;
+        }
+        FeedOf(kind)->Offer(*snapshot);
+      });
 }
 
 void knowledge::Fill(peer_state& state) const {
--- a/src/router/request_gate.cc
+++ b/src/router/request_gate.cc
@@ -23,12 +23,14 @@
 // The routing table of a router that has just started is there within this.
 constexpr milliseconds kRetryWithoutTable{500};
 
+// Missing shards that one log line lists.
+constexpr std::size_t kListedMissing = 8;
+
 // Headers that concern one connection, or that are set anew.
 constexpr std::array<std::string_view, 10> kNotForwarded = {
-    "Connection", "Keep-Alive",       "Proxy-Connection",
-    "TE",         "Proxy-Authorization", "Trailer",
-    "Upgrade",    "Expect",           "Transfer-Encoding",
-    "Content-Length"};
+    "Connection",          "Keep-Alive",    "Proxy-Connection", "TE",
+    "Proxy-Authorization", "Trailer",       "Upgrade",          "Expect",
+    "Transfer-Encoding",   "Content-Length"};
 
 std::optional<milliseconds> ParseMilliseconds(const std::string& text) {
   std::int64_t value = 0;
@@ -128,8 +130,8 @@
       exchange->Header(names.time_left_ms.c_str()).empty() || !stated
           ? matched.timeout
           : *stated;
-  const microseconds limit = std::min<microseconds>(
-      wait - kDeadlineMargin, matched.timeout);
+  const microseconds limit =
+      std::min<microseconds>(wait - kDeadlineMargin, matched.timeout);
   const microseconds spent = TimeSpentBefore(matched, wait);
   auto outbound = std::make_shared<outbound_request>();
   outbound->head = HeadOf(*exchange);
@@ -161,8 +163,8 @@
 std::string request_gate::HeadOf(const http_exchange& exchange) const {
   const header_names& names = shared_.options.names;
   const std::string connection = exchange.Header("Connection");
-  std::string head = exchange.Method() + " " + exchange.Target() +
-                     " HTTP/1.1\r\n";
+  std::string head =
+      exchange.Method() + " " + exchange.Target() + " HTTP/1.1\r\n";
   for (const http_header& each : exchange.Headers()) {
     const bool set_anew =
         std::any_of(kNotForwarded.begin(), kNotForwarded.end(),
@@ -178,8 +180,8 @@
                         !exchange.Header("Content-Length").empty() ||
                         !exchange.Header("Transfer-Encoding").empty();
   if (has_body) {
-    head += "Content-Length: " + std::to_string(exchange.Body().size()) +
-            "\r\n";
+    head +=
+        "Content-Length: " + std::to_string(exchange.Body().size()) + "\r\n";
   }
   return head;
 }
@@ -229,8 +231,8 @@
     ++counts_.failed;
   }
   if (observe_ && end.status / 100 == kSuccess) observe_(took);
-  event_line("gate", "ended")
-      .With("request", request_id)
+  event_line line("gate", "ended");
+  line.With("request", request_id)
       .With("route", route_name)
       .With("version", version)
       .With("status", end.status)
@@ -239,6 +241,15 @@
       .With("answered", end.answered)
       .With("sends", end.sends)
       .With("took_ms", ToMilliseconds(took));
+  if (end.missing.empty()) return;
+  auto missing = nlohmann::ordered_json::array();
+  for (const missing_shard& each : end.missing) {
+    if (missing.size() == kListedMissing) break;
+    missing.push_back({{"service", each.service},
+                       {"sends", each.sends},
+                       {"oldest_ms", ToMilliseconds(each.oldest)}});
+  }
+  line.With("missing", missing);
 }
 
 }  // namespace basilhoist
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -65,7 +65,7 @@
                 .seed = std::hash<std::string>()(settings.name)}),
         gate(shared),
         known(the_loop, http, settings, platform, directory,
-              {.on_table = [this](routing_table_ptr t) { OnTable(t); },
+              {.on_table = [this](const routing_table_ptr& t) { OnTable(t); },
                .on_instances = [this](std::size_t n) { OnInstances(n); }}),
         callers(the_loop, ServerOptions(settings.caller_address),
                 [this](const auto& exchange) { gate.Take(exchange); }),
@@ -203,8 +203,8 @@
 
 bool router::Start() {
   const bool bound = state_->callers.Listening() &&
-                     state_->readiness.Listening() &&
-                     state_->ops.Listening() && state_->known.Bound();
+                     state_->readiness.Listening() && state_->ops.Listening() &&
+                     state_->known.Bound();
   event_line("router", bound ? "started" : "address_not_bound")
       .With("callers", Format(state_->settings.caller_address))
       .With("ops", Format(state_->settings.ops_address));
--- a/src/store/object_store.cc
+++ b/src/store/object_store.cc
@@ -83,17 +83,18 @@
   if (!call.body.empty()) {
     call.headers.emplace_back("Content-Type: application/json");
   }
-  return http_.Start(
-      std::move(call), [this, decode, done = std::move(done)](http_result& r) {
-        call_outcome outcome = OutcomeOf(r);
-        std::optional<Value> value;
-        if (outcome == call_outcome::kOk) {
-          value = (options_.dialect.get()->*decode)(r.Body());
-          // A body that cannot be read leaves open what the store holds.
-          if (!value) outcome = call_outcome::kUnknown;
-        }
-        done(outcome, value.value_or(Value{}));
-      });
+  return http_.Start(std::move(call),
+                     [this, decode, done = std::move(done)](http_result& r) {
+                       call_outcome outcome = OutcomeOf(r);
+                       std::optional<Value> value;
+                       if (outcome == call_outcome::kOk) {
+                         value = (options_.dialect.get()->*decode)(r.Body());
+                         // A body that cannot be read leaves open what the
+                         // store holds.
+                         if (!value) outcome = call_outcome::kUnknown;
+                       }
+                       done(outcome, value.value_or(Value{}));
+                     });
 }
 
 std::uint64_t object_store::List(const std::string& kind,
--- a/tests/backend_connection_test.cc
+++ b/tests/backend_connection_test.cc
@@ -28,7 +28,7 @@
   event_loop loop;
   backend_reply ended;
   backend_connection connection(loop, server.Address(), [] {});
-  connection.Send(std::move(request), [&](backend_reply reply) {
+  connection.Send(std::move(request), [&](const backend_reply& reply) {
     ended = std::move(reply);
     loop.Stop();
   });
@@ -86,15 +86,15 @@
   const std::string head =
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
   BOOST_TEST(AfterBytes(head + "4\r\nbody\r\n0\r\n\r\n").body == "body");
-  BOOST_TEST((AfterBytes(head + "4\r\nbody\r\n").fault ==
-              exchange_fault::kBroken));
-  BOOST_TEST((AfterBytes(head + "zz\r\nbody\r\n").fault ==
-              exchange_fault::kGarbled));
+  BOOST_TEST(
+      (AfterBytes(head + "4\r\nbody\r\n").fault == exchange_fault::kBroken));
+  BOOST_TEST(
+      (AfterBytes(head + "zz\r\nbody\r\n").fault == exchange_fault::kGarbled));
 }
 
 BOOST_AUTO_TEST_CASE(BytesThatAreNoReplyAreGarbled) {
-  BOOST_TEST((AfterBytes("what is this\r\n\r\n").fault ==
-              exchange_fault::kGarbled));
+  BOOST_TEST(
+      (AfterBytes("what is this\r\n\r\n").fault == exchange_fault::kGarbled));
 }
 
 BOOST_AUTO_TEST_CASE(AReplyToAnotherRequestIsNotTaken) {
@@ -110,11 +110,13 @@
 
 BOOST_AUTO_TEST_CASE(ARefusedConnectionSendsNothing) {
   endpoint nobody;
-  { nobody = scripted_server([](scripted_connection&) {}).Address(); }
+  {
+    nobody = scripted_server([](scripted_connection&) {}).Address();
+  }
   event_loop loop;
   backend_reply ended;
   backend_connection connection(loop, nobody, [] {});
-  connection.Send(Request(), [&](backend_reply reply) {
+  connection.Send(Request(), [&](const backend_reply& reply) {
     ended = std::move(reply);
     loop.Stop();
   });
@@ -212,9 +214,9 @@
   bool open = true;
   backend_connection connection(loop, server.Address(), [] {});
   backend_request request = Request();
-  request.body = std::make_shared<const std::string>(std::string(64U << 20U,
-                                                                 'x'));
-  connection.Send(std::move(request), [&](backend_reply reply) {
+  request.body =
+      std::make_shared<const std::string>(std::string(64U << 20U, 'x'));
+  connection.Send(std::move(request), [&](const backend_reply& reply) {
     BOOST_TEST((reply.fault == exchange_fault::kNone));
     open = connection.Open();
     loop.Stop();
--- a/tests/dispatch_policy_test.cc
+++ b/tests/dispatch_policy_test.cc
@@ -33,10 +33,9 @@
     now_ms += *rc::gen::inRange(0, 40);
     const instant now = kStart + milliseconds(now_ms);
     // Skewed: the first instance gets most requests.
-    const auto which =
-        *rc::gen::inRange<std::size_t>(0, 3) > 0
-            ? std::size_t{0}
-            : *rc::gen::inRange<std::size_t>(0, instances);
+    const auto which = *rc::gen::inRange<std::size_t>(0, 3) > 0
+                           ? std::size_t{0}
+                           : *rc::gen::inRange<std::size_t>(0, instances);
     if (*rc::gen::inRange(0, 3) == 0) {
       budgets[which].OnRequest(now, options.window);
       log.push_back({now_ms, false});
@@ -87,23 +86,31 @@
       {{.shards = 20, .answered = 20, .least_coverage = 0.89}, kAnswer},
       {{.shards = 20, .answered = 19, .failed = 1, .least_coverage = 0.89},
        kAnswer},
-      {{.shards = 20, .answered = 18, .least_coverage = 0.89,
+      {{.shards = 20,
+        .answered = 18,
+        .least_coverage = 0.89,
         .objective_passed = true},
        kAnswer},
-      {{.shards = 20, .answered = 17, .least_coverage = 0.89,
+      {{.shards = 20,
+        .answered = 17,
+        .least_coverage = 0.89,
         .objective_passed = true},
        kWait},
       {{.shards = 20, .answered = 0, .failed = 3, .least_coverage = 0.89},
        kGiveUp},
-      {{.shards = 20, .answered = 17, .least_coverage = 0.89,
-        .objective_passed = true, .deadline_passed = true},
+      {{.shards = 20,
+        .answered = 17,
+        .least_coverage = 0.89,
+        .objective_passed = true,
+        .deadline_passed = true},
        kGiveUp},
-      {{.shards = 4, .answered = 3, .least_coverage = 0.75,
+      {{.shards = 4,
+        .answered = 3,
+        .least_coverage = 0.75,
         .deadline_passed = true},
        kAnswer},
       // A success names a part, whatever the least coverage.
-      {{.shards = 2, .answered = 0, .failed = 2, .least_coverage = 0},
-       kGiveUp},
+      {{.shards = 2, .answered = 0, .failed = 2, .least_coverage = 0}, kGiveUp},
   };
   for (const answer_case& each : cases) {
     BOOST_TEST((DecideAnswer(each.progress) == each.expected));
@@ -114,25 +121,25 @@
 
 BOOST_AUTO_TEST_CASE(OnlyAProofOrAMisdirectionSaysNotRun) {
   using enum send_outcome;
-  const auto judge = [](backend_reply reply) {
+  const auto judge = [](const backend_reply& reply) {
     return JudgeReply(reply, kNames);
   };
   const http_header proof{.name = "x-proof", .value = "p"};
   BOOST_TEST((judge({.status = 200, .headers = {proof}}) == kAnswer));
   BOOST_TEST((judge({.status = 200}) == kUnclear));
-  BOOST_TEST((judge({.status = 200,
-                     .headers = {proof, {"Content-Encoding", "gzip"}}}) ==
-              kUnclear));
+  BOOST_TEST(
+      (judge({.status = 200,
+              .headers = {proof, {"Content-Encoding", "gzip"}}}) == kUnclear));
   BOOST_TEST((judge({.status = 500, .headers = {proof}}) == kServerFailure));
   BOOST_TEST((judge({.status = 503}) == kServerFailure));
-  BOOST_TEST((judge({.status = 503, .headers = {{"X-Not-Run", "1"}}}) ==
-              kShed));
+  BOOST_TEST(
+      (judge({.status = 503, .headers = {{"X-Not-Run", "1"}}}) == kShed));
   BOOST_TEST((judge({.status = 421}) == kWrongServer));
   BOOST_TEST((judge({.fault = exchange_fault::kNotConnected}) == kNeverSent));
-  BOOST_TEST((judge({.fault = exchange_fault::kBroken, .sent = true}) ==
-              kUnclear));
-  BOOST_TEST((judge({.fault = exchange_fault::kGarbled, .sent = true}) ==
-              kUnclear));
+  BOOST_TEST(
+      (judge({.fault = exchange_fault::kBroken, .sent = true}) == kUnclear));
+  BOOST_TEST(
+      (judge({.fault = exchange_fault::kGarbled, .sent = true}) == kUnclear));
   for (const auto outcome : {kAnswer, kServerFailure, kUnclear}) {
     BOOST_TEST(!SurelyNotRun(outcome));
   }
@@ -195,8 +202,8 @@
               kStart + server_stats::kLongestAvoid));
   Play(10, send_end::kAnswered);
   Play(0, send_end::kBroken);
-  BOOST_TEST((stats.Of(1, kStart).avoid_until ==
-              kStart + server_stats::kFirstAvoid));
+  BOOST_TEST(
+      (stats.Of(1, kStart).avoid_until == kStart + server_stats::kFirstAvoid));
 }
 
 BOOST_FIXTURE_TEST_CASE(AServerWithALateRequestIsStalled, stats_fixture) {
--- a/tests/feed_state_test.cc
+++ b/tests/feed_state_test.cc
@@ -86,8 +86,8 @@
   fake_store store;
   feed_state feed;
   std::uint64_t highest = 0;
-  const auto steps = *rc::gen::container<std::vector<int>>(
-      rc::gen::inRange(0, 10));
+  const auto steps =
+      *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 10));
   object_snapshot old_view;
   for (const int step : steps) {
     const std::string name(1, static_cast<char>('a' + step % 4));
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -1,7 +1,10 @@
 // The platform's settings and objects become the product's own types; what is
 // malformed is told or left out.
+#include <unistd.h>
+
 #include <boost/test/unit_test.hpp>
 #include <cstdio>
+#include <filesystem>
 #include <fstream>
 
 #include "platform/binding.h"
@@ -23,7 +26,9 @@
 
 class settings_file {
  public:
-  explicit settings_file(const std::string& text) : path_(std::tmpnam(nullptr)) {
+  explicit settings_file(const std::string& text)
+      : path_(std::filesystem::temp_directory_path() /
+              ("basilhoist-settings-" + std::to_string(getpid()) + ".json")) {
     std::ofstream(path_) << text;
   }
   ~settings_file() { static_cast<void>(std::remove(path_.c_str())); }
@@ -93,10 +98,10 @@
 }
 
 object_snapshot Snapshot(const std::string& name, const std::string& content) {
-  return {.revision = 1,
-          .objects = {{name,
-                       {.name = name,
-                        .content = nlohmann::json::parse(content)}}}};
+  return {
+      .revision = 1,
+      .objects = {
+          {name, {.name = name, .content = nlohmann::json::parse(content)}}}};
 }
 
 constexpr const char* kRouting = R"({"version": 9, "routes": [
--- a/tests/server_directory_test.cc
+++ b/tests/server_directory_test.cc
@@ -113,8 +113,8 @@
   BOOST_TEST((directory.Of("s").front()->cold_until == until));
   cold.warmup_left = milliseconds(0);
   directory.Apply({cold}, false, kStart + milliseconds(1500));
-  BOOST_TEST((directory.Of("s").front()->cold_until ==
-              kStart + milliseconds(1500)));
+  BOOST_TEST(
+      (directory.Of("s").front()->cold_until == kStart + milliseconds(1500)));
 }
 
 }  // namespace
--- a/tests/service_call_test.cc
+++ b/tests/service_call_test.cc
@@ -71,7 +71,9 @@
   event_loop loop;
   fake_sender sender;
   server_directory directory;
-  dispatcher shared{loop, sender, directory,
+  dispatcher shared{loop,
+                    sender,
+                    directory,
                     {.names = kNames, .retry = {.ratio = 0.2, .fixed = 50}}};
   std::vector<call_result> ended;
   std::shared_ptr<service_call> call;
--- a/tests/stop_policy_test.cc
+++ b/tests/stop_policy_test.cc
@@ -36,8 +36,8 @@
   BOOST_TEST((At(policy, 3000, 0) == stop_step::kEnd));
 }
 
-// Replays trouble-2 with seed 947208607270 (saobang): a server's reply was lost,
-// and the router ended with the request unanswered.
+// Replays trouble-2 with seed 947208607270 (saobang): a server's reply was
+// lost, and the router ended with the request unanswered.
 BOOST_AUTO_TEST_CASE(AnswersWhatIsLeftBeforeItEnds) {
   stop_policy policy(kAsked, kGrace);
   BOOST_TEST((At(policy, 5090, 3) == stop_step::kRefuse));
--- a/tests/top_records_test.cc
+++ b/tests/top_records_test.cc
@@ -40,8 +40,7 @@
 }
 
 RC_BOOST_PROP(EqualsSortingEverything, ()) {
-  const auto parts =
-      *rc::gen::container<std::vector<std::string>>(Part());
+  const auto parts = *rc::gen::container<std::vector<std::string>>(Part());
   const auto most = *rc::gen::inRange<std::size_t>(0, 12);
   const std::vector<std::string_view> views(parts.begin(), parts.end());
   RC_ASSERT(MergeTopRecords(views, most) == Sorted(parts, most));
