--- a/include/basilhoist/dispatch/caller_request.h
+++ b/include/basilhoist/dispatch/caller_request.h
@@ -18,8 +18,6 @@
   const route* matched = nullptr;
   std::shared_ptr<const outbound_request> outbound;
   instant arrived;
-  /// When the answer must be on its way for its full value.
-  instant objective_at;
 };
 
 /// A shard that an answer leaves out.
--- a/include/basilhoist/dispatch/dispatcher.h
+++ b/include/basilhoist/dispatch/dispatcher.h
@@ -33,9 +33,11 @@
   /// @param objective of the route, for a first guess
   [[nodiscard]] microseconds Usual(microseconds objective) const;
 
-  /// @param pressure used share of the retry budget
+  /// @param left time until the answer must be on its way
+  /// @param pressure used share of the retry budget, 0 to 1
   /// @return how long a first send is waited for before a second one
   [[nodiscard]] microseconds SecondSendDelay(microseconds objective,
+                                             microseconds left,
                                              double pressure) const;
 
  private:
@@ -67,6 +69,9 @@
   /// @return the service's settings in the newest table, or defaults
   [[nodiscard]] service_settings SettingsOf(const std::string& service) const;
 
+  /// @return what extra sends are allowed now
+  [[nodiscard]] retry_budget_options RetryLimits(instant now) const;
+
   /// @return connections that this instance may have to one server
   [[nodiscard]] unsigned ConnectionsTo(const std::string& service) const;
 
@@ -77,6 +82,7 @@
   pcg32 random;
   routing_table_ptr table;
   std::size_t instances = 1;
+  instant started = Now();
   server_stats stats;
   std::map<std::string, retry_budget> budgets;
   std::map<std::string, route_timing> timings;
--- a/include/basilhoist/dispatch/retry_budget.h
+++ b/include/basilhoist/dispatch/retry_budget.h
@@ -25,9 +25,8 @@
 /// are spread over them.
 class retry_budget {
  public:
-  /// Of the whole limit; the rest covers an instance that restarts and has
-  /// forgotten what it sent, and peers that count each other late.
-  static constexpr double kUsedShare = 0.8;
+  /// Of the whole limit; the rest covers peers that count each other late.
+  static constexpr double kUsedShare = 0.92;
 
   /// A request for the service has begun.
   void OnRequest(instant now, milliseconds window);
--- a/include/basilhoist/dispatch/service_call.h
+++ b/include/basilhoist/dispatch/service_call.h
@@ -23,6 +23,8 @@
   bool idempotent = false;
   unsigned max_attempts = 1;
   microseconds objective{0};
+  /// When the answer must be on its way for its full value.
+  instant objective_at;
   instant deadline;
 };
 
--- a/src/dispatch/fan_out_run.cc
+++ b/src/dispatch/fan_out_run.cc
@@ -24,7 +24,7 @@
   void Start() override {
     const auto self = shared_from_this();
     const auto& shards = request_.matched->shards;
-    objective_timer_ = shared_.loop.At(request_.objective_at, [self] {
+    objective_timer_ = shared_.loop.At(request_.outbound->objective_at, [self] {
       self->objective_timer_ = 0;
       self->objective_passed_ = true;
       self->Decide();
--- a/src/dispatch/service_call.cc
+++ b/src/dispatch/service_call.cc
@@ -108,7 +108,7 @@
     }
     return attempt::kLater;
   }
-  if (reached_ && !shared_.budgets[service_].Spend(shared_.options.retry,
+  if (reached_ && !shared_.budgets[service_].Spend(shared_.RetryLimits(now),
                                                    shared_.instances, now)) {
     ++shared_.counts.budget_refusals;
     return attempt::kNever;
@@ -176,10 +176,11 @@
 
 void service_call::ArmSecondSend() {
   if (!request_->idempotent || request_->max_attempts < 2) return;
+  const instant now = Now();
   const double pressure = shared_.budgets[service_].Pressure(
-      shared_.options.retry, shared_.instances, Now());
+      shared_.RetryLimits(now), shared_.instances, now);
   const auto delay = shared_.timings[request_->route_name].SecondSendDelay(
-      request_->objective, pressure);
+      request_->objective, request_->objective_at - now, pressure);
   shared_.loop.Cancel(second_timer_);
   second_timer_ = shared_.loop.After(delay, [self = shared_from_this()] {
     self->second_timer_ = 0;
--- a/src/router/request_gate.cc
+++ b/src/router/request_gate.cc
@@ -142,13 +142,13 @@
   outbound->idempotent = matched.idempotent;
   outbound->max_attempts = matched.max_attempts;
   outbound->objective = matched.objective;
+  outbound->objective_at = now + matched.objective - spent - kObjectiveMargin;
   outbound->deadline = now + limit;
   return {.exchange = exchange,
           .table = shared_.table,
           .matched = &matched,
           .outbound = std::move(outbound),
-          .arrived = now,
-          .objective_at = now + matched.objective - spent - kObjectiveMargin};
+          .arrived = now};
 }
 
 // A caller that comes again states less time than at first. The objective
