A router that ends closes its callers' connections in the same turn

Ruled out: replies cut on their way (the stop policy waits for them). Change: the callers' server is shut in the turn of the decision, so that what waits in a socket stays unread and its caller may repeat it.

--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -187,6 +187,8 @@
     if (step == stop_step::kGiveUp) gate.GiveUpAll();
     if (step == stop_step::kEnd) {
       event_line("router", "stopped").With("in_flight", gate.InFlight());
+      // At once, so that no request is read in the rest of this turn.
+      callers.Shut();
       loop.Stop();
       return;
     }
--- a/tests/platform_path_test.py
+++ b/tests/platform_path_test.py
@@ -298,6 +298,43 @@
         self.assertEqual([], cut)
 
 
+class StopTest(RigTest):
+
+    def test_kept_connections_lose_no_request_that_was_read(self):
+        """Replays trouble-2 of quetzal: a request on a kept connection came in
+        the turn in which the router ended, and was sent on but not answered."""
+        links = [socket.create_connection(
+            (self.rig.router_address(1), platform_rig.CALLER_PORT), 3)
+            for _ in range(60)]
+        process = self.rig.terminate(1)
+        began = time.monotonic()
+        # One idle connection after the other is used around the end.
+        sent = []
+        for number, link in enumerate(links):
+            delay = 2.9 + number * 0.01 - (time.monotonic() - began)
+            time.sleep(max(0.0, delay))
+            name = f"kept-{number}"
+            try:
+                link.sendall(
+                    f"GET /get/{number} HTTP/1.1\r\nHost: {self.rig.HOST}\r\n"
+                    f"Basilhoist-Request-Id: {name}\r\n"
+                    "Basilhoist-Timeout-Ms: 800\r\n\r\n".encode())
+                sent.append((name, link))
+            except OSError:
+                pass  # closed before it was sent: nothing is lost
+        process.wait(10)
+        for name, link in sent:
+            link.settimeout(1)
+            try:
+                answer = link.recv(4096)
+            except OSError:
+                answer = b""
+            if not answer:
+                self.assertEqual(0, self.runs_of(name), name)
+        for link in links:
+            link.close()
+
+
 def refused(rig, number):
     """Whether the router takes no connections any more."""
     try:
