The first failures after a start may be retried

Cause: platform_path_test failed once the fixed part of the retry budget grew from nothing: a router that has just started had no retry for a server whose address another one has (test_another_server_at_the_address, 1 shard missing). Checks are unchanged but for the first value of the growing part, which is now bounded instead of 0.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -12,6 +12,8 @@
 constexpr milliseconds kLeastDelay{6};
 // Usual times that a second send takes in all but few cases.
 constexpr double kNeededFactor = 2;
+// Of the fixed part of the budget, for the first failures after a start.
+constexpr double kFirstFixedShare = 0.3;
 // Connections of a server left for its health checks and for instances that
 // this one does not know of yet.
 constexpr unsigned kReservedConnections = 2;
@@ -38,12 +40,12 @@
 }
 
 // A process that was restarted does not know what it had sent before, so the
-// fixed part grows from nothing over the first window.
+// fixed part grows to its whole size over the first window.
 retry_budget_options dispatcher::RetryLimits(instant now) const {
   retry_budget_options limits = options.retry;
   const double age = static_cast<double>((now - started).count()) /
                      static_cast<double>(microseconds(limits.window).count());
-  limits.fixed *= std::clamp(age, 0.0, 1.0);
+  limits.fixed *= std::clamp(age, kFirstFixedShare, 1.0);
   return limits;
 }
 
