Cold servers by rate, and requests that crash servers are kept out

Change: cold_gate lets the first four instances of a server's own rendezvous order send, each an equal part of the rate; a reply that tells of warm-up, a broken or a refused connection makes a server cold. crash_guard blames a request for a server only if its connection broke and the next was refused; peers tell each other of suspects; three servers keep a request out.

--- a/include/basilhoist/dispatch/dispatcher.h
+++ b/include/basilhoist/dispatch/dispatcher.h
@@ -1,12 +1,15 @@
 // What all requests of an instance share when they send to servers.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <pcg_random.hpp>
 #include <string>
 
 #include "basilhoist/backend/request_sender.h"
 #include "basilhoist/directory/server_directory.h"
+#include "basilhoist/dispatch/cold_gate.h"
+#include "basilhoist/dispatch/crash_guard.h"
 #include "basilhoist/dispatch/header_names.h"
 #include "basilhoist/dispatch/retry_budget.h"
 #include "basilhoist/dispatch/server_stats.h"
@@ -72,6 +75,13 @@
   /// @return what extra sends are allowed now
   [[nodiscard]] retry_budget_options RetryLimits(instant now) const;
 
+  /// @return whether the server is cold and has had its part for now
+  [[nodiscard]] bool TooCold(const listed_server& server, instant now) const;
+
+  /// A send to the server has ended; keeps what it tells of the server.
+  void OnSendEnd(listed_server& server, std::uint64_t fingerprint,
+                 const backend_reply& reply, instant now);
+
   /// @return connections that this instance may have to one server
   [[nodiscard]] unsigned ConnectionsTo(const std::string& service) const;
 
@@ -83,7 +93,13 @@
   routing_table_ptr table;
   std::size_t instances = 1;
   instant started = Now();
+  /// @return the place of this instance in the order of a key's instances
+  std::function<std::size_t(std::uint64_t)> rank_of = [](std::uint64_t) {
+    return std::size_t{0};
+  };
   server_stats stats;
+  cold_gate cold;
+  crash_guard crashes;
   std::map<std::string, retry_budget> budgets;
   std::map<std::string, route_timing> timings;
   dispatch_counts counts;
--- a/include/basilhoist/dispatch/service_call.h
+++ b/include/basilhoist/dispatch/service_call.h
@@ -20,6 +20,8 @@
   bool is_head_method = false;
   std::string request_id;
   std::string route_name;
+  /// The same for all requests of one target and body.
+  std::uint64_t fingerprint = 0;
   bool idempotent = false;
   unsigned max_attempts = 1;
   microseconds objective{0};
@@ -78,7 +80,7 @@
   enum class attempt : std::uint8_t { kSent, kLater, kNever };
 
   attempt TrySend();
-  void SendTo(const listed_server& server, bool extra);
+  void SendTo(const listed_server_ptr& server, bool extra);
   [[nodiscard]] bool MaySendMore() const;
   void Continue();
   void ArmSecondSend();
--- a/include/basilhoist/knowledge/peer_exchange.h
+++ b/include/basilhoist/knowledge/peer_exchange.h
@@ -52,6 +52,11 @@
   ///   lately and those known of but not heard yet
   [[nodiscard]] std::size_t InstanceCount() const;
 
+  /// Orders instances by rendezvous hashing, the same on all of them as far
+  /// as they know of each other.
+  /// @return how many known instances come before this one for a key
+  [[nodiscard]] std::size_t RankFor(std::uint64_t key) const;
+
  private:
   struct peer {
     instant known_since;
--- a/include/basilhoist/router/knowledge.h
+++ b/include/basilhoist/router/knowledge.h
@@ -20,6 +20,9 @@
   struct handlers {
     /// A newer routing table is in force.
     std::function<void(routing_table_ptr)> on_table;
+    /// Requests that crash servers, to tell peers of and as told by them.
+    std::function<std::vector<suspect_report>()> suspects;
+    std::function<void(const std::vector<suspect_report>&)> on_suspects;
     /// More or fewer instances share the limits.
     std::function<void(std::size_t)> on_instances;
   };
@@ -40,6 +43,7 @@
   [[nodiscard]] const std::vector<std::unique_ptr<object_feed>>& Feeds() const {
     return feeds_;
   }
+  [[nodiscard]] const peer_exchange& Peers() const { return peers_; }
   [[nodiscard]] std::uint64_t StoreCalls() const { return store_.Calls(); }
 
  private:
--- a/src/directory/server_directory.cc
+++ b/src/directory/server_directory.cc
@@ -1,9 +1,16 @@
 #include "basilhoist/directory/server_directory.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace basilhoist {
 
+std::uint64_t backend_server::RunHash() const {
+  const std::string run = id + "/" + std::to_string(started_at_ms);
+  return XXH64(run.data(), run.size(), 0);
+}
+
 void server_directory::Apply(const std::vector<backend_server>& servers,
                              instant now) {
   std::map<std::string, listed_server_ptr> next;
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -1,6 +1,9 @@
 #include "basilhoist/dispatch/dispatcher.h"
 
 #include <algorithm>
+#include <charconv>
+
+#include "basilhoist/ops/event_line.h"
 
 namespace basilhoist {
 namespace {
@@ -54,6 +57,42 @@
   return found == nullptr ? service_settings{.name = service} : *found;
 }
 
+bool dispatcher::TooCold(const listed_server& server, instant now) const {
+  if (now >= server.cold_until) return false;
+  const double rate = SettingsOf(server.info.service).warmup_rate_per_s;
+  if (rate <= 0) return false;
+  return !cold.May(server.key,
+                   {.rate_per_s = rate,
+                    .instances = instances,
+                    .rank = rank_of(server.info.RunHash())},
+                   now);
+}
+
+void dispatcher::OnSendEnd(listed_server& server, std::uint64_t fingerprint,
+                           const backend_reply& reply, instant now) {
+  const std::string* warmup = reply.Header(options.names.warmup_left_ms);
+  if (warmup != nullptr) {
+    std::int64_t left_ms = 0;
+    std::from_chars(warmup->data(), warmup->data() + warmup->size(), left_ms);
+    server.cold_until = now + milliseconds(left_ms);
+  }
+  if (reply.fault == exchange_fault::kNone) return;
+  // A server that breaks off may have restarted, and is cold when it is back;
+  // its entry tells that later.
+  const service_settings settings = SettingsOf(server.info.service);
+  if (settings.warmup_rate_per_s > 0) {
+    server.cold_until = std::max(server.cold_until, now + settings.warmup);
+  }
+  if (reply.fault == exchange_fault::kBroken && reply.sent) {
+    crashes.OnBroken(fingerprint, server.info.RunHash(), now);
+  } else if (reply.fault == exchange_fault::kNotConnected &&
+             crashes.OnRefused(server.info.RunHash(), now)) {
+    event_line("call", "server_crashed")
+        .With("server", server.info.id)
+        .With("fingerprint", fingerprint);
+  }
+}
+
 unsigned dispatcher::ConnectionsTo(const std::string& service) const {
   const unsigned most = SettingsOf(service).max_connections;
   const unsigned shared =
--- a/src/dispatch/service_call.cc
+++ b/src/dispatch/service_call.cc
@@ -13,6 +13,8 @@
 // so long; another one that is avoided longer is not.
 constexpr milliseconds kShortWait{30};
 constexpr milliseconds kPoll{3};
+// A cold server that has had its part; its next turn comes within about this.
+constexpr milliseconds kColdWait{20};
 // A send whose reply is needed no more may end by itself for so long, which
 // keeps its connection; then it is cut.
 constexpr milliseconds kLinger{250};
@@ -84,11 +86,16 @@
   const instant now = Now();
   const unsigned most = shared_.ConnectionsTo(service_);
   std::vector<replica> replicas;
-  std::vector<const listed_server*> servers;
+  std::vector<listed_server_ptr> servers;
+  bool too_cold = false;
   for (const listed_server_ptr& each : shared_.directory.Of(service_)) {
     if (!shared_.directory.MayUse(*each) || tried_.contains(each->key))
       continue;
-    servers.push_back(each.get());
+    if (shared_.TooCold(*each, now)) {
+      too_cold = true;
+      continue;
+    }
+    servers.push_back(each);
     replicas.push_back(
         {.standing = shared_.stats.Of(each->key, now),
          .slots = each->info.slots,
@@ -97,6 +104,10 @@
          .near = each->info.failure_domain == shared_.options.failure_domain,
          .has_room = shared_.sender.HasRoom(*each, most)});
   }
+  if (servers.empty() && too_cold) {
+    soonest_ = now + kColdWait;
+    return attempt::kLater;
+  }
   if (servers.empty()) return attempt::kNever;
   const double tie =
       static_cast<double>(shared_.random()) / static_cast<double>(pcg32::max());
@@ -114,7 +125,7 @@
     ++shared_.counts.budget_refusals;
     return attempt::kNever;
   }
-  SendTo(*servers[*chosen], reached_);
+  SendTo(servers[*chosen], reached_);
   return attempt::kSent;
 }
 
@@ -131,21 +142,24 @@
   return head;
 }
 
-void service_call::SendTo(const listed_server& server, bool extra) {
+void service_call::SendTo(const listed_server_ptr& server, bool extra) {
   const instant now = Now();
   const std::uint64_t number = ++sends_;
   ++shared_.counts.sends;
-  const std::uint64_t key = server.key;
+  const std::uint64_t key = server->key;
   const auto usual =
       shared_.timings[request_->route_name].Usual(request_->objective);
   // Keys of sends must be unique in the statistics of a server.
   const std::uint64_t send_key = shared_.counts.sends;
   shared_.stats.OnSent(key, send_key, usual, now);
+  shared_.cold.OnSent(key, now);
   dispatcher* shared = &shared_;
-  const auto on_reply = [weak = weak_from_this(), shared, key, send_key, number,
-                         extra, now, request = request_](backend_reply reply) {
+  const auto on_reply = [weak = weak_from_this(), shared, server, key, send_key,
+                         number, extra, now,
+                         request = request_](backend_reply reply) {
     const auto outcome = JudgeReply(reply, shared->options.names);
     shared->stats.OnEnd(key, send_key, EndOf(outcome, reply), Now());
+    shared->OnSendEnd(*server, request->fingerprint, reply, Now());
     if (outcome == send_outcome::kAnswer && !extra) {
       shared->timings[request->route_name].Add(Now() - now);
     }
@@ -157,8 +171,8 @@
   // not known whether the request ran.
   const bool fresh = !request_->idempotent;
   const std::uint64_t id =
-      shared_.sender.Send(server, shared_.ConnectionsTo(service_), fresh,
-                          {.head = HeadFor(server),
+      shared_.sender.Send(*server, shared_.ConnectionsTo(service_), fresh,
+                          {.head = HeadFor(*server),
                            .body = request_->body,
                            .is_head_method = request_->is_head_method,
                            .echo_header = shared_.options.names.request_id,
--- a/src/knowledge/peer_exchange.cc
+++ b/src/knowledge/peer_exchange.cc
@@ -1,5 +1,7 @@
 #include "basilhoist/knowledge/peer_exchange.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -37,6 +39,17 @@
 
 std::size_t peer_exchange::InstanceCount() const { return peers_.size() + 1; }
 
+std::size_t peer_exchange::RankFor(std::uint64_t key) const {
+  const auto weight = [key](const endpoint& where) {
+    const std::string text = Format(where);
+    return XXH64(text.data(), text.size(), key);
+  };
+  const std::uint64_t own = weight(options_.self);
+  return static_cast<std::size_t>(std::count_if(
+      peers_.begin(), peers_.end(),
+      [&](const auto& entry) { return weight(entry.first) > own; }));
+}
+
 void peer_exchange::Round() {
   Forget(Now());
   std::vector<endpoint> targets;
--- a/src/router/knowledge.cc
+++ b/src/router/knowledge.cc
@@ -189,6 +189,7 @@
 }
 
 void knowledge::OnPeer(const peer_state& state) {
+  if (!state.suspects.empty()) on_.on_suspects(state.suspects);
   for (const held_snapshot& each : state.held) {
     Compare(each, state.fetch_address);
   }
@@ -245,6 +246,7 @@
   state.name = settings_.name;
   state.incarnation = incarnation_;
   state.fetch_address = Format(settings_.ops_address);
+  state.suspects = on_.suspects();
   for (const auto& each : feeds_) {
     if (!each->State().Known()) continue;
     state.held.push_back({.kind = each->Kind(),
--- a/src/router/request_gate.cc
+++ b/src/router/request_gate.cc
@@ -23,6 +23,8 @@
 // The routing table of a router that has just started is there within this.
 constexpr milliseconds kRetryWithoutTable{500};
 
+// A request that crashes servers is kept out for minutes.
+constexpr milliseconds kRetryAfterCrashes{60000};
 // Missing shards that one log line lists.
 constexpr std::size_t kListedMissing = 8;
 
@@ -112,6 +114,13 @@
     return refusal{FailureReply(kBadRequest, "The request has no id."),
                    "no_request_id"};
   }
+  if (shared_.crashes.Refuses(crash_guard::Fingerprint(
+          exchange.Method(), exchange.Target(), exchange.Body()))) {
+    return refusal{NotRunReply(names, kRetryAfterCrashes,
+                               "Servers crashed on this request; it has not "
+                               "run."),
+                   "crashes_servers"};
+  }
   const std::string wait = exchange.Header(names.time_left_ms.c_str());
   if (!wait.empty() && !ParseMilliseconds(wait)) {
     return refusal{FailureReply(kBadRequest, "The time to wait is no number."),
@@ -139,6 +148,8 @@
   outbound->is_head_method = exchange->Method() == "HEAD";
   outbound->request_id = exchange->Header(names.request_id.c_str());
   outbound->route_name = matched.name;
+  outbound->fingerprint = crash_guard::Fingerprint(
+      exchange->Method(), exchange->Target(), exchange->Body());
   outbound->idempotent = matched.idempotent;
   outbound->max_attempts = matched.max_attempts;
   outbound->objective = matched.objective;
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -66,6 +66,11 @@
         gate(shared),
         known(the_loop, http, settings, platform, directory,
               {.on_table = [this](const routing_table_ptr& t) { OnTable(t); },
+               .suspects = [this] { return shared.crashes.Reports(Now()); },
+               .on_suspects =
+                   [this](const std::vector<suspect_report>& reports) {
+                     shared.crashes.Merge(reports, Now());
+                   },
                .on_instances = [this](std::size_t n) { OnInstances(n); }}),
         callers(the_loop, ServerOptions(settings.caller_address),
                 [this](const auto& exchange) { gate.Take(exchange); }),
@@ -80,12 +85,16 @@
                    .Add({}, prometheus::Histogram::BucketBoundaries{
                                 0.01, 0.02, 0.04, 0.06, 0.08, 0.1, 0.12, 0.15,
                                 0.2, 0.3, 0.5, 1, 2, 5});
+    shared.rank_of = [this](std::uint64_t key) {
+      return known.Peers().RankFor(key);
+    };
     gate.OnLatency([this](microseconds took) {
       latency->Observe(ToMilliseconds(took) / 1000);
     });
     directory.OnGone([this](const listed_server& server) {
       pool.Forget(server);
       shared.stats.Forget(server.key);
+      shared.cold.Forget(server.key);
     });
   }
 
