Shards of far domains go in batches through instances that stand there

Change: relay slice. relay_plan covers the shards without a near replica by few domains; a relay takes a batch at once, sends it with its own second sends, and returns proofs and the greatest records, merged. A relay that does not take a batch within 25 ms, or whose link breaks, loses it: the sender goes direct, counted as extra sends, and avoids it for a second. Updates of a lost batch are dropped, so no part counts twice. Tests: relay_test (RapidCheck on the plan; silent, ending, late and cancelled batches on loopback); platform_path_test: frozen and killed relays.

--- a/include/basilhoist/dispatch/caller_request.h
+++ b/include/basilhoist/dispatch/caller_request.h
@@ -23,8 +23,9 @@
 /// A shard that an answer leaves out.
 struct missing_shard {
   std::string service;
+  bool relayed = false;  ///< Another instance had it.
   unsigned sends = 0;
-  microseconds oldest{0};  ///< Age of its oldest send that is in flight.
+  microseconds oldest{0};  ///< Age of its oldest send, or of its batch.
 };
 
 /// Why a request ended as it did, for logs and metrics.
--- a/include/basilhoist/dispatch/dispatcher.h
+++ b/include/basilhoist/dispatch/dispatcher.h
@@ -19,6 +19,8 @@
 
 namespace basilhoist {
 
+class relay_client;
+
 /// How a dispatcher is set up.
 struct dispatch_options {
   header_names names;
@@ -75,6 +77,10 @@
   /// @return what extra sends are allowed now
   [[nodiscard]] retry_budget_options RetryLimits(instant now) const;
 
+  /// @return where the servers of a shard stand that may be used now
+  [[nodiscard]] std::set<std::string> DomainsOf(const std::string& service,
+                                                instant now) const;
+
   /// @return whether the server is cold and has had its part for now
   [[nodiscard]] bool TooCold(const listed_server& server, instant now) const;
 
@@ -91,6 +97,8 @@
   dispatch_options options;
   pcg32 random;
   routing_table_ptr table;
+  /// Takes batches of shards; null where there is none.
+  relay_client* relays = nullptr;
   std::size_t instances = 1;
   instant started = Now();
   /// @return the place of this instance in the order of a key's instances
--- a/include/basilhoist/dispatch/service_call.h
+++ b/include/basilhoist/dispatch/service_call.h
@@ -54,6 +54,9 @@
   /// Begins; the handler may run inside if no server can take the request.
   void Start();
 
+  /// Begins for a request that another instance may have sent to the service.
+  void StartAfterLoss();
+
   /// Ends the call without its handler and closes what is in flight.
   void Cancel();
 
--- a/include/basilhoist/knowledge/peer_exchange.h
+++ b/include/basilhoist/knowledge/peer_exchange.h
@@ -29,6 +29,8 @@
  public:
   /// A peer that was not heard for so long no longer counts.
   static constexpr milliseconds kForgetAfter{30000};
+  /// Heard lately enough to be relied on until shown otherwise.
+  static constexpr milliseconds kHeardWithin{6000};
 
   struct handlers {
     /// Fills in what this instance tells; addresses of peers are added.
@@ -45,8 +47,11 @@
   /// Adds an address where a peer may be.
   void Know(const endpoint& where);
 
-  /// Tells all peers of this round at once, since something has changed.
-  void TellNow();
+  /// Tells all peers at once, since something has changed.
+  void TellAll();
+
+  /// @return what peers told last, of those that were heard lately
+  [[nodiscard]] std::vector<peer_state> Heard() const;
 
   /// @return instances to share limits with, this one included: those heard
   ///   lately and those known of but not heard yet
@@ -62,10 +67,11 @@
     instant known_since;
     instant heard_at;
     bool heard = false;
-    std::string name;
+    peer_state state;
   };
 
   void Round();
+  void Tell(std::size_t most);
   void OnDatagram(std::string_view bytes);
   void Forget(instant now);
 
--- a/include/basilhoist/link/messages.h
+++ b/include/basilhoist/link/messages.h
@@ -17,6 +17,9 @@
   kCancels = 4,
   kHeartbeat = 5,
   kDocument = 6,
+  kRelayRequest = 7,
+  kRelayUpdate = 8,
+  kRelayCancel = 9,
 };
 
 /// What a caller asks for.
@@ -170,12 +173,60 @@
   bool operator==(const suspect_report&) const = default;
 };
 
+/// Shards of one caller's request, for an instance near their servers.
+struct relay_request {
+  std::uint64_t id = 0;  ///< Chosen by the sender; unique on its link.
+  std::string head;      ///< Request line and headers that servers get.
+  std::string body;
+  bool is_head_method = false;
+  std::string request_id;
+  std::string route_name;
+  std::uint64_t fingerprint = 0;
+  std::uint32_t max_attempts = 1;
+  std::int64_t objective_us = 0;       ///< Of the route.
+  std::int64_t objective_left_us = 0;  ///< Until the update must leave.
+  std::int64_t deadline_left_us = 0;
+  std::uint32_t most_records = 0;
+  std::vector<std::string> shards;
+
+  bool operator==(const relay_request&) const = default;
+};
+
+/// A shard that was answered.
+struct relayed_part {
+  std::uint32_t shard = 0;  ///< Index into the request's shards.
+  std::string signature;
+
+  bool operator==(const relayed_part&) const = default;
+};
+
+/// What has become of a relayed request since the last update.
+struct relay_update {
+  std::uint64_t id = 0;
+  std::vector<relayed_part> parts;
+  std::string records;                ///< The greatest ones of these parts.
+  std::vector<std::uint32_t> failed;  ///< Shards that will not be answered.
+  bool may_have_run = false;          ///< A failed shard may have run it.
+
+  bool operator==(const relay_update&) const = default;
+};
+
+/// The relayed request is needed no more.
+struct relay_cancel {
+  std::uint64_t id = 0;
+
+  bool operator==(const relay_cancel&) const = default;
+};
+
 /// What instances tell each other by datagrams.
 struct peer_state {
   std::string name;
   std::uint64_t incarnation = 0;
   std::string address;        ///< "IP:port" where it takes datagrams.
   std::string fetch_address;  ///< "IP:port" where it hands out snapshots.
+  std::string relay_address;  ///< "IP:port" where it takes relayed requests.
+  std::string failure_domain;
+  bool serving = false;  ///< It is ready and not about to end.
   std::vector<held_snapshot> held;
   std::vector<std::string> peers;  ///< Addresses of instances it has heard.
   std::vector<suspect_report> suspects;
--- a/include/basilhoist/router/knowledge.h
+++ b/include/basilhoist/router/knowledge.h
@@ -23,6 +23,8 @@
     /// Requests that crash servers, to tell peers of and as told by them.
     std::function<std::vector<suspect_report>()> suspects;
     std::function<void(const std::vector<suspect_report>&)> on_suspects;
+    /// What peers told last.
+    std::function<void(const std::vector<peer_state>&)> on_peers;
     /// More or fewer instances share the limits.
     std::function<void(std::size_t)> on_instances;
   };
@@ -34,6 +36,9 @@
   [[nodiscard]] bool Bound() const { return peers_.Bound(); }
   void Start();
 
+  /// Tells peers that this router is about to end.
+  void Leave();
+
   /// @return whether requests can be served
   [[nodiscard]] bool Ready() const;
 
@@ -72,6 +77,7 @@
   peer_exchange peers_;
   std::uint64_t incarnation_;
   std::uint64_t table_version_ = 0;
+  bool leaving_ = false;
   std::size_t instances_ = 0;
   // Since when a peer has held more of a kind than the store told here.
   std::map<std::string, instant> behind_since_;
--- a/scripts/platform_rig.py
+++ b/scripts/platform_rig.py
@@ -290,7 +290,8 @@
     HOST = "rig.example"
 
     def __init__(self, logs, routers=4, shards=6, replicas=2, singles=3,
-                 work_ms=10, seed=1, top=10):
+                 work_ms=10, seed=1, top=10, zones=4):
+        self.server_zones = self.ZONES[:zones]
         self.logs = pathlib.Path(logs)
         self.random = random.Random(seed)
         self.net, self.claim = self._claim()
@@ -343,7 +344,8 @@
 
     async def _add_backend(self, name, service, number, slots, work_ms):
         made = Backend(self, name, service, f"{self.net}.{number + 50}",
-                       self.ZONES[number % len(self.ZONES)], slots, work_ms)
+                       self.server_zones[number % len(self.server_zones)],
+                       slots, work_ms)
         self.backends[name] = made
         await made.start()
         return made
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -57,6 +57,17 @@
   return found == nullptr ? service_settings{.name = service} : *found;
 }
 
+std::set<std::string> dispatcher::DomainsOf(const std::string& service,
+                                            instant now) const {
+  std::set<std::string> domains;
+  for (const listed_server_ptr& each : directory.Of(service)) {
+    if (!directory.MayUse(*each) || each->missing) continue;
+    if (now < stats.Of(each->key, now).avoid_until) continue;
+    domains.insert(each->info.failure_domain);
+  }
+  return domains;
+}
+
 bool dispatcher::TooCold(const listed_server& server, instant now) const {
   if (now >= server.cold_until) return false;
   const double rate = SettingsOf(server.info.service).warmup_rate_per_s;
--- a/src/dispatch/fan_out_run.cc
+++ b/src/dispatch/fan_out_run.cc
@@ -4,6 +4,8 @@
 #include "basilhoist/dispatch/answer_policy.h"
 #include "basilhoist/dispatch/caller_request.h"
 #include "basilhoist/merge/top_records.h"
+#include "basilhoist/relay/relay_client.h"
+#include "basilhoist/relay/relay_plan.h"
 
 namespace basilhoist {
 namespace {
@@ -19,11 +21,12 @@
               request_end_handler on_end)
       : shared_(shared),
         request_(std::move(request)),
-        on_end_(std::move(on_end)) {}
+        on_end_(std::move(on_end)),
+        shards_(request_.matched->shards.size()) {}
 
   void Start() override {
     const auto self = shared_from_this();
-    const auto& shards = request_.matched->shards;
+    began_ = Now();
     objective_timer_ = shared_.loop.At(request_.outbound->objective_at, [self] {
       self->objective_timer_ = 0;
       self->objective_passed_ = true;
@@ -33,16 +36,10 @@
       self->deadline_timer_ = 0;
       self->GiveUp();
     });
-    calls_.reserve(shards.size());
-    for (const std::string& shard : shards) {
-      calls_.push_back(std::make_shared<service_call>(
-          shared_, request_.outbound, shard,
-          [self](call_result result) { self->OnPart(std::move(result)); }));
-    }
+    StartBatches();
     // A call may end inside Start, and with it the whole request.
-    for (std::size_t i = 0; i < calls_.size() && !ended_; ++i) {
-      const auto call = calls_[i];
-      call->Start();
+    for (std::size_t i = 0; i < shards_.size() && !ended_; ++i) {
+      if (!shards_[i].relayed) CallOf(i)->Start();
     }
   }
 
@@ -52,29 +49,124 @@
   }
 
   void Abandon() override {
-    for (const auto& call : calls_) call->Cancel();
+    for (const shard_state& each : shards_) {
+      if (each.call) each.call->Cancel();
+    }
     End({.status = 0, .cause = "caller_gone"});
   }
 
  private:
-  void OnPart(call_result result) {
+  enum class progress : std::uint8_t { kPending, kAnswered, kFailed };
+
+  struct shard_state {
+    progress at = progress::kPending;
+    bool relayed = false;  // a relay has it now
+    std::shared_ptr<service_call> call;
+  };
+
+  void StartBatches() {
+    if (shared_.relays == nullptr) return;
+    const instant now = Now();
+    std::vector<shard_place> places;
+    for (const std::string& shard : request_.matched->shards) {
+      places.push_back({.failure_domains = shared_.DomainsOf(shard, now)});
+    }
+    const std::size_t turn = shared_.random();
+    for (const relay_batch& batch :
+         PlanRelays(places, shared_.options.failure_domain,
+                    shared_.relays->Domains(), turn)) {
+      SendBatch(batch, turn);
+    }
+  }
+
+  void SendBatch(const relay_batch& batch, std::size_t turn) {
+    const relay_peer* relay =
+        shared_.relays->Choose(batch.failure_domain, turn);
+    if (relay == nullptr) return;
+    std::vector<std::string> names;
+    for (const std::size_t shard : batch.shards) {
+      names.push_back(request_.matched->shards[shard]);
+    }
+    const auto self = shared_from_this();
+    const std::uint64_t id = shared_.relays->Send(
+        *relay, *request_.outbound, request_.matched->most_records,
+        std::move(names),
+        {.on_update =
+             [self, shards = batch.shards](const relay_update& update) {
+               self->OnUpdate(shards, update);
+             },
+         .on_lost = [self, shards = batch.shards] { self->OnLost(shards); }});
+    if (id == 0) return;
+    batches_.push_back(id);
+    for (const std::size_t shard : batch.shards) shards_[shard].relayed = true;
+  }
+
+  std::shared_ptr<service_call> CallOf(std::size_t shard) {
+    shards_[shard].call = std::make_shared<service_call>(
+        shared_, request_.outbound, request_.matched->shards[shard],
+        [self = shared_from_this(), shard](call_result result) {
+          self->OnPart(shard, std::move(result));
+        });
+    return shards_[shard].call;
+  }
+
+  void OnPart(std::size_t shard, call_result result) {
     if (ended_) return;
     if (result.outcome == send_outcome::kAnswer) {
-      parts_.push_back(std::move(result.reply));
+      shards_[shard].at = progress::kAnswered;
+      AddSignature(*result.reply.Header(shared_.options.names.signature));
+      bodies_.push_back(std::move(result.reply.body));
     } else {
-      ++failed_;
+      shards_[shard].at = progress::kFailed;
       may_have_run_ = may_have_run_ || result.may_have_run;
       retry_after_ = std::max(retry_after_, result.retry_after);
     }
     Decide();
   }
 
+  void OnUpdate(const std::vector<std::size_t>& shards,
+                const relay_update& update) {
+    if (ended_) return;
+    for (const relayed_part& part : update.parts) {
+      shards_.at(shards.at(part.shard)).at = progress::kAnswered;
+      AddSignature(part.signature);
+    }
+    for (const std::uint32_t failed : update.failed) {
+      shards_.at(shards.at(failed)).at = progress::kFailed;
+    }
+    if (!update.parts.empty()) bodies_.push_back(update.records);
+    may_have_run_ = may_have_run_ || update.may_have_run;
+    Decide();
+  }
+
+  // The relay may have sent what it took; a send from here is an extra one.
+  void OnLost(const std::vector<std::size_t>& shards) {
+    if (ended_) return;
+    may_have_run_ = true;
+    for (const std::size_t shard : shards) {
+      if (ended_ || shards_[shard].at != progress::kPending) continue;
+      shards_[shard].relayed = false;
+      CallOf(shard)->StartAfterLoss();
+    }
+  }
+
+  void AddSignature(const std::string& signature) {
+    if (!signatures_.empty()) signatures_ += ", ";
+    signatures_ += signature;
+  }
+
+  [[nodiscard]] std::size_t Count(progress at) const {
+    return static_cast<std::size_t>(
+        std::count_if(shards_.begin(), shards_.end(),
+                      [at](const shard_state& each) { return each.at == at; }));
+  }
+
   void Decide() {
     if (ended_) return;
     const fan_out_decision decision =
-        DecideAnswer({.shards = request_.matched->shards.size(),
-                      .answered = parts_.size(),
-                      .failed = failed_,
+        DecideAnswer({.shards = shards_.size(),
+                      .answered = Count(progress::kAnswered),
+                      .failed = Count(progress::kFailed),
                       .least_coverage = request_.matched->least_coverage,
                       .objective_passed = objective_passed_,
                       .deadline_passed = deadline_passed_});
@@ -88,58 +180,30 @@
 
   void Answer() {
     const header_names& names = shared_.options.names;
-    const std::size_t shards = request_.matched->shards.size();
-    std::vector<std::string_view> bodies;
-    std::string signatures;
-    for (const backend_reply& part : parts_) {
-      bodies.emplace_back(part.body);
-      if (!signatures.empty()) signatures += ", ";
-      signatures += *part.Header(names.signature);
-    }
+    const std::size_t answered = Count(progress::kAnswered);
+    const std::vector<std::string_view> views(bodies_.begin(), bodies_.end());
     http_reply reply{
         .status = kOk,
         .content_type = "application/octet-stream",
-        .body = MergeTopRecords(bodies, request_.matched->most_records)};
+        .body = MergeTopRecords(views, request_.matched->most_records)};
+    reply.headers.push_back(
+        {.name = names.part_signatures, .value = std::move(signatures_)});
     reply.headers.push_back(
-        {.name = names.part_signatures, .value = std::move(signatures)});
-    reply.headers.push_back({.name = names.missing_shards,
-                             .value = std::to_string(shards - parts_.size())});
+        {.name = names.missing_shards,
+         .value = std::to_string(shards_.size() - answered)});
     request_.exchange->Reply(std::move(reply));
-    const std::size_t answered = parts_.size();
     End({.status = kOk,
-         .cause = answered == shards  ? "full"
-                  : objective_passed_ ? "partial_at_objective"
-                                      : "partial_rest_failed",
-         .shards = shards,
-         .answered = answered,
-         .sends = Sends(),
-         .missing = Missing()});
-  }
-
-  [[nodiscard]] unsigned Sends() const {
-    unsigned sends = 0;
-    for (const auto& call : calls_) sends += call->Sends();
-    return sends;
-  }
-
-  [[nodiscard]] std::vector<missing_shard> Missing() const {
-    std::vector<missing_shard> missing;
-    const instant now = Now();
-    for (const auto& call : calls_) {
-      if (call->Answered()) continue;
-      missing.push_back({.service = call->Service(),
-                         .sends = call->Sends(),
-                         .oldest = call->OldestSend(now)});
-    }
-    return missing;
+         .cause = answered == shards_.size() ? "full"
+                  : objective_passed_        ? "partial_at_objective"
+                                             : "partial_rest_failed"});
   }
 
   // The request may be repeated, so a part that ran does no harm; still only
-  // a request of which no part was taken is said not to have run.
+  // a request of which no part was sent is said not to have run.
   void Refuse() {
-    const bool untouched = parts_.empty() && !may_have_run_ && Sends() == 0;
+    const bool untouched = !may_have_run_ && Sends() == 0 && !deadline_passed_;
     http_reply reply =
-        untouched && !deadline_passed_
+        untouched
             ? NotRunReply(shared_.options.names, retry_after_,
                           "Too few shards can be reached; it has not run.")
             : FailureReply(deadline_passed_ ? kGatewayTimeout : kBadGateway,
@@ -147,32 +211,61 @@
     const int status = reply.status;
     request_.exchange->Reply(std::move(reply));
     End({.status = status,
-         .cause = deadline_passed_ ? "deadline" : "too_few_shards",
-         .shards = request_.matched->shards.size(),
-         .answered = parts_.size(),
-         .sends = Sends(),
-         .missing = Missing()});
+         .cause = deadline_passed_ ? "deadline" : "too_few_shards"});
   }
 
-  void End(const request_end& end) {
+  [[nodiscard]] unsigned Sends() const {
+    unsigned sends = 0;
+    for (const shard_state& each : shards_) {
+      if (each.relayed) ++sends;
+      if (each.call) sends += each.call->Sends();
+    }
+    return sends;
+  }
+
+  [[nodiscard]] std::vector<missing_shard> Missing() const {
+    std::vector<missing_shard> missing;
+    const instant now = Now();
+    for (std::size_t i = 0; i < shards_.size(); ++i) {
+      const shard_state& each = shards_[i];
+      if (each.at == progress::kAnswered) continue;
+      missing.push_back(
+          {.service = request_.matched->shards[i],
+           .relayed = each.relayed,
+           .sends = each.call ? each.call->Sends() : 0,
+           .oldest = each.call ? each.call->OldestSend(now) : now - began_});
+    }
+    return missing;
+  }
+
+  void End(request_end end) {
     ended_ = true;
+    end.shards = shards_.size();
+    end.answered = Count(progress::kAnswered);
+    end.sends = Sends();
+    end.missing = Missing();
     shared_.loop.Cancel(objective_timer_);
     shared_.loop.Cancel(deadline_timer_);
-    for (const auto& call : calls_) call->Leave();
+    for (const shard_state& each : shards_) {
+      if (each.call) each.call->Leave();
+    }
+    for (const std::uint64_t batch : batches_) shared_.relays->Cancel(batch);
     if (on_end_) std::exchange(on_end_, nullptr)(end);
   }
 
   dispatcher& shared_;
   caller_request request_;
   request_end_handler on_end_;
-  std::vector<std::shared_ptr<service_call>> calls_;
-  std::vector<backend_reply> parts_;
-  std::size_t failed_ = 0;
+  std::vector<shard_state> shards_;
+  std::vector<std::uint64_t> batches_;
+  std::string signatures_;
+  std::vector<std::string> bodies_;
   bool may_have_run_ = false;
   microseconds retry_after_{0};
   bool objective_passed_ = false;
   bool deadline_passed_ = false;
   bool ended_ = false;
+  instant began_;
   timer_id objective_timer_ = 0;
   timer_id deadline_timer_ = 0;
 };
--- a/src/dispatch/service_call.cc
+++ b/src/dispatch/service_call.cc
@@ -56,6 +56,11 @@
   Continue();
 }
 
+void service_call::StartAfterLoss() {
+  reached_ = true;
+  Continue();
+}
+
 void service_call::Cancel() {
   finished_ = true;
   done_ = nullptr;
--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -228,6 +228,9 @@
         }
         break;
       case frame_kind::kHello:
+      case frame_kind::kRelayRequest:  // Between routers only.
+      case frame_kind::kRelayUpdate:
+      case frame_kind::kRelayCancel:
         break;
     }
   }
--- a/src/knowledge/peer_exchange.cc
+++ b/src/knowledge/peer_exchange.cc
@@ -35,7 +35,18 @@
   peers_.try_emplace(where, peer{.known_since = Now()});
 }
 
-void peer_exchange::TellNow() { Round(); }
+void peer_exchange::TellAll() { Tell(peers_.size()); }
+
+std::vector<peer_state> peer_exchange::Heard() const {
+  std::vector<peer_state> states;
+  const instant now = Now();
+  for (const auto& [where, each] : peers_) {
+    if (each.heard && now - each.heard_at < kHeardWithin) {
+      states.push_back(each.state);
+    }
+  }
+  return states;
+}
 
 std::size_t peer_exchange::InstanceCount() const { return peers_.size() + 1; }
 
@@ -52,6 +63,10 @@
 
 void peer_exchange::Round() {
   Forget(Now());
+  Tell(options_.fanout);
+}
+
+void peer_exchange::Tell(std::size_t most) {
   std::vector<endpoint> targets;
   targets.reserve(peers_.size());
   for (const auto& [where, each] : peers_) targets.push_back(where);
@@ -63,7 +78,7 @@
   }
   on_.fill(state);
   const std::string bytes = Encode(state);
-  if (targets.size() > options_.fanout) targets.resize(options_.fanout);
+  if (targets.size() > most) targets.resize(most);
   for (const endpoint& each : targets) socket_.Send(each, bytes);
 }
 
@@ -82,7 +97,7 @@
   }
   known.heard = true;
   known.heard_at = Now();
-  known.name = state->name;
+  known.state = *state;
   for (const std::string& each : state->peers) Know(ParseEndpoint(each));
   on_.on_state(*state);
 }
--- a/src/link/codec.cc
+++ b/src/link/codec.cc
@@ -64,6 +64,24 @@
           m.documents);
 }
 template <typename Archive>
+void serialize(Archive& archive, relay_request& m) {
+  archive(m.id, m.head, m.body, m.is_head_method, m.request_id, m.route_name,
+          m.fingerprint, m.max_attempts, m.objective_us, m.objective_left_us,
+          m.deadline_left_us, m.most_records, m.shards);
+}
+template <typename Archive>
+void serialize(Archive& archive, relayed_part& m) {
+  archive(m.shard, m.signature);
+}
+template <typename Archive>
+void serialize(Archive& archive, relay_update& m) {
+  archive(m.id, m.parts, m.records, m.failed, m.may_have_run);
+}
+template <typename Archive>
+void serialize(Archive& archive, relay_cancel& m) {
+  archive(m.id);
+}
+template <typename Archive>
 void serialize(Archive& archive, held_snapshot& m) {
   archive(m.kind, m.revision, m.digest);
 }
@@ -73,8 +91,8 @@
 }
 template <typename Archive>
 void serialize(Archive& archive, peer_state& m) {
-  archive(m.name, m.incarnation, m.address, m.fetch_address, m.held, m.peers,
-          m.suspects);
+  archive(m.name, m.incarnation, m.address, m.fetch_address, m.relay_address,
+          m.failure_domain, m.serving, m.held, m.peers, m.suspects);
 }
 
 namespace {
@@ -142,6 +160,9 @@
 BASILHOIST_CODEC(document)
 BASILHOIST_CODEC(heartbeat)
 BASILHOIST_CODEC(peer_state)
+BASILHOIST_CODEC(relay_request)
+BASILHOIST_CODEC(relay_update)
+BASILHOIST_CODEC(relay_cancel)
 #undef BASILHOIST_CODEC
 
 }  // namespace basilhoist
--- /dev/null
+++ b/src/relay/relay_links.cc
@@ -0,0 +1,50 @@
+#include "basilhoist/relay/relay_links.h"
+
+#include <utility>
+
+namespace basilhoist {
+
+relay_links::relay_links(event_loop& loop, const endpoint& self, handlers on)
+    : loop_(loop),
+      self_(self),
+      on_(std::move(on)),
+      listener_(loop, self, [this](const auto& link) { Take(link); }) {}
+
+bool relay_links::Send(const endpoint& relay, frame_kind kind,
+                       const std::string& payload) {
+  auto& link = outgoing_[relay];
+  if (!link || !link->IsOpen()) link = Connect(relay);
+  if (!link) return false;
+  link->Send(kind, payload);
+  return true;
+}
+
+std::shared_ptr<frame_link> relay_links::Connect(const endpoint& relay) {
+  const int fd = ConnectSocket({}, relay);
+  if (fd < 0) return nullptr;
+  auto link = std::make_shared<frame_link>(loop_, fd);
+  link->Open(
+      [this, relay](frame_kind kind, std::string_view bytes) {
+        on_.on_reply(relay, kind, bytes);
+      },
+      // Posted, since the link may break inside Send.
+      [this, relay] { loop_.Post([this, relay] { on_.on_lost(relay); }); });
+  return link;
+}
+
+void relay_links::Take(const std::shared_ptr<frame_link>& link) {
+  incoming_.insert(link);
+  const std::weak_ptr<frame_link> weak = link;
+  link->Open(
+      [this, weak](frame_kind kind, std::string_view bytes) {
+        if (const auto open = weak.lock()) on_.on_request(open, kind, bytes);
+      },
+      [this, weak] {
+        const auto closed = weak.lock();
+        if (!closed) return;
+        on_.on_gone(closed.get());
+        incoming_.erase(closed);
+      });
+}
+
+}  // namespace basilhoist
--- a/src/router/knowledge.cc
+++ b/src/router/knowledge.cc
@@ -181,7 +181,7 @@
               ParseEndpoint(each.content.value("peer_address", std::string())));
         }
         CountInstances();
-        peers_.TellNow();
+        peers_.TellAll();
         if (page.has_more && !page.objects.empty()) {
           ListInstances(page.objects.back().name);
         }
@@ -190,6 +190,7 @@
 
 void knowledge::OnPeer(const peer_state& state) {
   if (!state.suspects.empty()) on_.on_suspects(state.suspects);
+  on_.on_peers(peers_.Heard());
   for (const held_snapshot& each : state.held) {
     Compare(each, state.fetch_address);
   }
@@ -246,6 +247,9 @@
   state.name = settings_.name;
   state.incarnation = incarnation_;
   state.fetch_address = Format(settings_.ops_address);
+  state.relay_address = Format(settings_.peer_address);
+  state.failure_domain = settings_.failure_domain;
+  state.serving = !leaving_ && Ready();
   state.suspects = on_.suspects();
   for (const auto& each : feeds_) {
     if (!each->State().Known()) continue;
@@ -255,6 +259,11 @@
   }
 }
 
+void knowledge::Leave() {
+  leaving_ = true;
+  peers_.TellAll();
+}
+
 void knowledge::CountInstances() {
   const std::size_t count = peers_.InstanceCount();
   if (count == instances_) return;
--- a/src/router/request_gate.cc
+++ b/src/router/request_gate.cc
@@ -257,6 +257,7 @@
   for (const missing_shard& each : end.missing) {
     if (missing.size() == kListedMissing) break;
     missing.push_back({{"service", each.service},
+                       {"relayed", each.relayed},
                        {"sends", each.sends},
                        {"oldest_ms", ToMilliseconds(each.oldest)}});
   }
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -10,6 +10,8 @@
 
 #include "basilhoist/backend/backend_pool.h"
 #include "basilhoist/ops/event_line.h"
+#include "basilhoist/relay/relay_client.h"
+#include "basilhoist/relay/relay_server.h"
 #include "basilhoist/router/knowledge.h"
 #include "basilhoist/router/request_gate.h"
 #include "basilhoist/router/stop_policy.h"
@@ -43,6 +45,9 @@
   backend_pool pool;
   dispatcher shared;
   request_gate gate;
+  relay_server relayed;
+  relay_links links;
+  relay_client relays;
   knowledge known;
   http_server callers;
   http_server readiness;
@@ -64,6 +69,23 @@
                 .failure_domain = settings.failure_domain,
                 .seed = std::hash<std::string>()(settings.name)}),
         gate(shared),
+        relayed(shared),
+        links(the_loop, settings.peer_address,
+              {.on_request =
+                   [this](const std::shared_ptr<frame_link>& link,
+                          frame_kind kind, std::string_view bytes) {
+                     relayed.OnFrame(link, kind, bytes);
+                   },
+               .on_gone =
+                   [this](const frame_link* link) { relayed.OnGone(link); },
+               .on_reply =
+                   [this](const endpoint& relay, frame_kind kind,
+                          std::string_view bytes) {
+                     relays.OnReply(relay, kind, bytes);
+                   },
+               .on_lost =
+                   [this](const endpoint& relay) { relays.OnLost(relay); }}),
+        relays(the_loop, links),
         known(the_loop, http, settings, platform, directory,
               {.on_table = [this](const routing_table_ptr& t) { OnTable(t); },
                .suspects = [this] { return shared.crashes.Reports(Now()); },
@@ -71,6 +93,10 @@
                    [this](const std::vector<suspect_report>& reports) {
                      shared.crashes.Merge(reports, Now());
                    },
+               .on_peers =
+                   [this](const std::vector<peer_state>& heard) {
+                     OnPeers(heard);
+                   },
                .on_instances = [this](std::size_t n) { OnInstances(n); }}),
         callers(the_loop, ServerOptions(settings.caller_address),
                 [this](const auto& exchange) { gate.Take(exchange); }),
@@ -88,6 +114,7 @@
     shared.rank_of = [this](std::uint64_t key) {
       return known.Peers().RankFor(key);
     };
+    shared.relays = &relays;
     gate.OnLatency([this](microseconds took) {
       latency->Observe(ToMilliseconds(took) / 1000);
     });
@@ -103,6 +130,21 @@
     callers.SetIdleTimeout(table->Limits().idle_timeout);
   }
 
+  void OnPeers(const std::vector<peer_state>& heard) {
+    std::vector<relay_peer> peers;
+    for (const peer_state& each : heard) {
+      if (!each.serving) continue;
+      if (each.failure_domain == settings.failure_domain) continue;
+      peers.push_back({.relay = ParseEndpoint(each.relay_address),
+                       .failure_domain = each.failure_domain});
+    }
+    relays.SetPeers(std::move(peers));
+  }
+
+  [[nodiscard]] std::size_t InFlight() const {
+    return gate.InFlight() + relayed.InFlight();
+  }
+
   void OnInstances(std::size_t count) {
     event_line("router", "instances_counted")
         .With("count", count)
@@ -191,11 +233,11 @@
   }
 
   void PollStop() {
-    const stop_step step = stopping->Next(gate.InFlight(), Now());
+    const stop_step step = stopping->Next(InFlight(), Now());
     if (step != stop_step::kServe) callers.Quiesce();
     if (step == stop_step::kGiveUp) gate.GiveUpAll();
     if (step == stop_step::kEnd) {
-      event_line("router", "stopped").With("in_flight", gate.InFlight());
+      event_line("router", "stopped").With("in_flight", InFlight());
       // At once, so that no request is read in the rest of this turn.
       callers.Shut();
       loop.Stop();
@@ -215,7 +257,7 @@
 bool router::Start() {
   const bool bound = state_->callers.Listening() &&
                      state_->readiness.Listening() && state_->ops.Listening() &&
-                     state_->known.Bound();
+                     state_->links.Listening() && state_->known.Bound();
   event_line("router", bound ? "started" : "address_not_bound")
       .With("callers", Format(state_->settings.caller_address))
       .With("ops", Format(state_->settings.ops_address));
@@ -235,6 +277,7 @@
   if (state_->stopping) return;
   state_->stopping.emplace(Now(), state_->settings.grace);
   state_->callers.CloseAfterReplies();
+  state_->known.Leave();
   event_line("router", "stop_asked").With("in_flight", state_->gate.InFlight());
   state_->PollStop();
 }
--- a/tests/platform_path_test.py
+++ b/tests/platform_path_test.py
@@ -1,6 +1,7 @@
 """The platform path with real routers: what callers and servers see of it."""
 
 import concurrent.futures
+import signal
 import socket
 import threading
 import time
@@ -298,6 +299,49 @@
         self.assertEqual([], cut)
 
 
+class RelayTest(RigTest):
+    """Shards in two domains, callers in others: requests go through relays."""
+
+    OPTIONS = {"shards": 8, "zones": 2}
+
+    def ask_all(self, seconds, numbers, allow_partial=False):
+        until = time.monotonic() + seconds
+        asked = 0
+        while time.monotonic() < until:
+            for number in numbers:
+                target = f"/all/{asked}"
+                reply = self.rig.ask(number, target)
+                missing = 0
+                if allow_partial and reply[0] == 200:
+                    missing = int(reply[1]["basilhoist-missing-shards"])
+                self.assert_whole(reply, target, missing)
+                asked += 1
+        return asked
+
+    def test_whole_answers_through_relays(self):
+        time.sleep(1.5)  # until routers have heard each other
+        self.assertGreater(self.ask_all(1, [2, 3]), 10)
+
+    def test_a_frozen_relay_costs_no_answer(self):
+        time.sleep(1.5)
+        for relay in (0, 1):
+            process = self.rig.processes[relay]
+            process.send_signal(signal.SIGSTOP)
+            try:
+                self.ask_all(0.7, [2, 3], allow_partial=True)
+            finally:
+                process.send_signal(signal.SIGCONT)
+            self.ask_all(0.7, [2, 3], allow_partial=True)
+
+    def test_a_killed_relay_costs_no_answer(self):
+        time.sleep(1.5)
+        self.rig.kill(0)
+        self.ask_all(1, [2, 3], allow_partial=True)
+        self.rig.start_router(0)
+        self.rig.wait_ready()
+        self.ask_all(1, [2, 3], allow_partial=True)
+
+
 class StopTest(RigTest):
 
     def test_kept_connections_lose_no_request_that_was_read(self):
--- /dev/null
+++ b/tests/relay_test.cc
@@ -0,0 +1,237 @@
+// Batches of shards through other instances: what is planned, and what becomes
+// of a batch whose relay is silent, broken or late.
+#include <rapidcheck/boost_test.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include "basilhoist/link/codec.h"
+#include "basilhoist/relay/relay_client.h"
+#include "basilhoist/relay/relay_plan.h"
+#include "basilhoist/relay/relay_server.h"
+
+namespace basilhoist {
+namespace {
+
+RC_BOOST_PROP(EachShardIsInOneBatchAtMostAndWhereItsServersStand, ()) {
+  const std::vector<std::string> domains = {"a", "b", "c", "d", "e"};
+  const auto domain_set = [&domains] {
+    std::set<std::string> chosen;
+    for (const auto& each : domains) {
+      if (*rc::gen::inRange(0, 3) == 0) chosen.insert(each);
+    }
+    return chosen;
+  };
+  std::vector<shard_place> places(*rc::gen::inRange<std::size_t>(0, 40));
+  for (shard_place& each : places) each.failure_domains = domain_set();
+  const auto relays = domain_set();
+  const std::string own = "a";
+  std::set<std::size_t> seen;
+  for (const relay_batch& batch :
+       PlanRelays(places, own, relays, *rc::gen::inRange<std::size_t>(0, 9))) {
+    RC_ASSERT(relays.contains(batch.failure_domain));
+    RC_ASSERT(batch.shards.size() >= 3U);
+    for (const std::size_t shard : batch.shards) {
+      RC_ASSERT(seen.insert(shard).second);
+      const auto& where = places.at(shard).failure_domains;
+      RC_ASSERT(where.contains(batch.failure_domain));
+      RC_ASSERT(!where.contains(own));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(FewDomainsAreCrossedTo) {
+  // Two replicas each in three far domains: two batches reach all of them.
+  std::vector<shard_place> places;
+  for (int i = 0; i < 4; ++i) {
+    places.push_back({{"b", "c"}});
+    places.push_back({{"c", "d"}});
+    places.push_back({{"b", "d"}});
+  }
+  const auto batches = PlanRelays(places, "a", {"b", "c", "d"}, 0);
+  BOOST_REQUIRE(batches.size() == 2U);
+  BOOST_TEST(batches[0].shards.size() + batches[1].shards.size() == 12U);
+}
+
+// Backend servers that answer when the test says so.
+class fake_sender : public request_sender {
+ public:
+  std::uint64_t Send(const listed_server& server, unsigned, bool,
+                     backend_request, reply_handler done) override {
+    sent.push_back({server.info.id, std::move(done)});
+    return sent.size();
+  }
+  bool HasRoom(const listed_server&, unsigned) const override { return true; }
+  void Abandon(std::uint64_t) override { ++abandoned; }
+
+  struct sent_request {
+    std::string server;
+    reply_handler done;
+  };
+  std::vector<sent_request> sent;
+  int abandoned = 0;
+};
+
+struct fixture {
+  event_loop loop;
+  fake_sender sender;
+  server_directory directory;
+  dispatcher shared{
+      loop, sender, directory, {.names = {.signature = "X-Proof"}}};
+  relay_server server{shared};
+  endpoint where = FreeEndpoint();
+  bool mute = false;
+  std::unique_ptr<relay_links> far = MakeFar();
+  std::unique_ptr<relay_client> client;
+  relay_links near{
+      loop,
+      FreeEndpoint(),
+      {.on_request = [](const auto&, frame_kind, std::string_view) {},
+       .on_gone = [](const frame_link*) {},
+       .on_reply =
+           [this](const endpoint& relay, frame_kind kind,
+                  std::string_view bytes) {
+             client->OnReply(relay, kind, bytes);
+           },
+       .on_lost = [this](const endpoint& relay) { client->OnLost(relay); }}};
+  std::vector<relay_update> updates;
+  int lost = 0;
+
+  fixture() {
+    client = std::make_unique<relay_client>(loop, near);
+    client->SetPeers({{.relay = where, .failure_domain = "b"}});
+    std::vector<backend_server> servers;
+    for (const char* name : {"s1", "s2", "s3"}) {
+      servers.push_back({.id = name,
+                         .service = name,
+                         .address = {.address = name},
+                         .slots = 2});
+    }
+    directory.Apply(servers, Now());
+  }
+
+  static endpoint FreeEndpoint() {
+    static std::uint16_t port =
+        static_cast<std::uint16_t>(20000 + Now().SinceBoot().count() % 20000);
+    return {.address = "127.0.0.1", .port = ++port};
+  }
+
+  std::unique_ptr<relay_links> MakeFar() {
+    return std::make_unique<relay_links>(
+        loop, where,
+        relay_links::handlers{
+            .on_request =
+                [this](const auto& link, frame_kind kind,
+                       std::string_view bytes) {
+                  if (!mute) server.OnFrame(link, kind, bytes);
+                },
+            .on_gone = [this](const frame_link* link) { server.OnGone(link); },
+            .on_reply = [](const endpoint&, frame_kind, std::string_view) {},
+            .on_lost = [](const endpoint&) {}});
+  }
+
+  std::uint64_t Send(int objective_ms = 200) {
+    outbound_request request;
+    request.head = "GET / HTTP/1.1\r\n";
+    request.body = std::make_shared<const std::string>();
+    request.idempotent = true;
+    request.max_attempts = 1;
+    request.objective = milliseconds(objective_ms);
+    request.objective_at = Now() + milliseconds(objective_ms);
+    request.deadline = Now() + milliseconds(1000);
+    return client->Send(
+        *client->Choose("b", 0), request, 2, {"s1", "s2", "s3"},
+        {.on_update = [this](const relay_update& u) { updates.push_back(u); },
+         .on_lost = [this] { ++lost; }});
+  }
+
+  void Answer(std::size_t number, const std::string& body) {
+    sender.sent.at(number).done(
+        {.sent = true,
+         .status = 200,
+         .headers = {{"X-Proof", "p" + std::to_string(number)}},
+         .body = body});
+  }
+
+  void RunFor(int ms) {
+    loop.After(milliseconds(ms), [this] { loop.Stop(); });
+    loop.Run();
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(ABatchComesBackMergedWhenAllIsIn, fixture) {
+  Send();
+  RunFor(15);
+  BOOST_REQUIRE(sender.sent.size() == 3U);
+  Answer(0, std::string(16, 'a'));
+  Answer(1, std::string(16, 'c'));
+  RunFor(15);
+  BOOST_TEST(updates.empty());
+  Answer(2, std::string(16, 'b'));
+  RunFor(15);
+  BOOST_REQUIRE(updates.size() == 1U);
+  BOOST_TEST(updates[0].parts.size() == 3U);
+  BOOST_TEST(updates[0].records == std::string(16, 'c') + std::string(16, 'b'));
+  BOOST_TEST(lost == 0);
+  BOOST_TEST(server.InFlight() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(WhatIsInLeavesAtTheObjective, fixture) {
+  Send(60);
+  RunFor(15);
+  Answer(0, std::string(16, 'a'));
+  RunFor(60);
+  BOOST_REQUIRE(updates.size() == 1U);
+  BOOST_TEST(updates[0].parts.size() == 1U);
+  Answer(1, std::string(16, 'b'));
+  RunFor(15);
+  BOOST_REQUIRE(updates.size() == 2U);
+  // Only the new part, so that no record is told twice.
+  BOOST_TEST(updates[1].records == std::string(16, 'b'));
+}
+
+BOOST_FIXTURE_TEST_CASE(ASilentRelayIsGivenUpSoon, fixture) {
+  mute = true;
+  Send();
+  RunFor(20);
+  BOOST_TEST(lost == 0);
+  RunFor(40);
+  BOOST_TEST(lost == 1);
+  BOOST_TEST((client->Choose("b", 0) == nullptr));
+  BOOST_TEST(client->Domains().empty());
+  RunFor(1050);
+  BOOST_TEST((client->Choose("b", 0) != nullptr));
+}
+
+BOOST_FIXTURE_TEST_CASE(ARelayThatEndsLosesItsBatches, fixture) {
+  Send();
+  RunFor(15);
+  far.reset();
+  RunFor(15);
+  BOOST_TEST(lost == 1);
+  BOOST_TEST(updates.empty());
+}
+
+// A relay that wakes up answers batches that were sent elsewhere meanwhile;
+// taking those parts again would count records twice.
+BOOST_FIXTURE_TEST_CASE(UpdatesOfALostBatchAreDropped, fixture) {
+  mute = true;
+  const std::uint64_t id = Send();
+  RunFor(60);
+  BOOST_REQUIRE(lost == 1);
+  client->OnReply(where, frame_kind::kRelayUpdate,
+                  Encode(relay_update{.id = id, .parts = {{.shard = 0}}}));
+  BOOST_TEST(updates.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(ACancelledBatchEndsAtTheRelay, fixture) {
+  const std::uint64_t id = Send();
+  RunFor(15);
+  BOOST_TEST(server.InFlight() == 1U);
+  client->Cancel(id);
+  RunFor(15);
+  BOOST_TEST(server.InFlight() == 0U);
+  BOOST_TEST(sender.abandoned == 3);
+}
+
+}  // namespace
+}  // namespace basilhoist
