Shards that a relay cannot send to anybody come back to their sender at once

Relays that were cut from the store did not know the services of the new routing table and failed all shards. Change: a relay tells which shards it sent to no server, at once; the sender goes direct, which is no extra send. Test first: ShardsThatTheRelayDoesNotKnowComeBackAtOnce.

--- a/include/basilhoist/link/messages.h
+++ b/include/basilhoist/link/messages.h
@@ -206,6 +206,9 @@
   std::vector<relayed_part> parts;
   std::string records;                ///< The greatest ones of these parts.
   std::vector<std::uint32_t> failed;  ///< Shards that will not be answered.
+  /// Shards that the relay could send to no server; it may know less of them
+  /// than the sender.
+  std::vector<std::uint32_t> not_sent;
   bool may_have_run = false;          ///< A failed shard may have run it.
 
   bool operator==(const relay_update&) const = default;
--- a/src/dispatch/fan_out_run.cc
+++ b/src/dispatch/fan_out_run.cc
@@ -136,6 +136,11 @@
     }
     if (!update.parts.empty()) bodies_.push_back(update.records);
     may_have_run_ = may_have_run_ || update.may_have_run;
+    for (const std::uint32_t not_sent : update.not_sent) {
+      if (ended_) return;
+      shards_.at(shards.at(not_sent)).relayed = false;
+      CallOf(shards.at(not_sent))->Start();
+    }
     Decide();
   }
 
--- a/src/link/codec.cc
+++ b/src/link/codec.cc
@@ -75,7 +75,7 @@
 }
 template <typename Archive>
 void serialize(Archive& archive, relay_update& m) {
-  archive(m.id, m.parts, m.records, m.failed, m.may_have_run);
+  archive(m.id, m.parts, m.records, m.failed, m.not_sent, m.may_have_run);
 }
 template <typename Archive>
 void serialize(Archive& archive, relay_cancel& m) {
--- a/src/relay/relay_client.cc
+++ b/src/relay/relay_client.cc
@@ -82,7 +82,9 @@
   const auto found = batches_.find(update->id);
   if (found == batches_.end() || found->second.relay != relay) return;
   loop_.Cancel(std::exchange(found->second.taken_timer, 0));
-  if (update->parts.empty() && update->failed.empty()) return;
+  const bool only_taken = update->parts.empty() && update->failed.empty() &&
+                          update->not_sent.empty();
+  if (only_taken) return;
   // The handler may cancel the batch.
   const auto on_update = found->second.on.on_update;
   on_update(*update);
--- a/src/relay/relay_server.cc
+++ b/src/relay/relay_server.cc
@@ -58,6 +58,8 @@
     // A call may end inside Start, and with it all of them.
     const auto calls = calls_;
     for (const auto& call : calls) call->Start();
+    started_ = true;
+    if (!pending_.not_sent.empty()) Flush();
   }
 
   void Cancel() {
@@ -72,16 +74,23 @@
       const auto* proof = result.reply.Header(shared_.options.names.signature);
       pending_.parts.push_back({.shard = shard, .signature = *proof});
       bodies_.push_back(std::move(result.reply.body));
+    } else if (result.sends == 0) {
+      pending_.not_sent.push_back(shard);
     } else {
       pending_.failed.push_back(shard);
       pending_.may_have_run = pending_.may_have_run || result.may_have_run;
     }
-    if (left_ == 0 || objective_passed_) Flush();
+    // The sender can still do something for what was not sent.
+    const bool urgent = objective_passed_ || !pending_.not_sent.empty();
+    if (left_ == 0 || (started_ && urgent)) Flush();
     if (left_ == 0) End();
   }
 
   void Flush() {
-    if (pending_.parts.empty() && pending_.failed.empty()) return;
+    if (pending_.parts.empty() && pending_.failed.empty() &&
+        pending_.not_sent.empty()) {
+      return;
+    }
     const std::vector<std::string_view> views(bodies_.begin(), bodies_.end());
     pending_.id = id_;
     pending_.records = MergeTopRecords(views, most_records_);
@@ -112,6 +121,7 @@
   relay_update pending_;
   std::vector<std::string> bodies_;
   std::size_t left_ = 0;
+  bool started_ = false;
   bool objective_passed_ = false;
   timer_id objective_timer_ = 0;
   timer_id deadline_timer_ = 0;
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -223,6 +223,23 @@
   BOOST_TEST(updates.empty());
 }
 
+// Replays quetzal's trouble-1: a relay that was cut from the store did not know
+// the services of a new routing table, and whole requests failed.
+BOOST_FIXTURE_TEST_CASE(ShardsThatTheRelayDoesNotKnowComeBackAtOnce, fixture) {
+  directory.Apply({{.id = "s1", .service = "s1", .slots = 2}}, Now());
+  directory.Expire(Now() + std::chrono::seconds(9));
+  Send();
+  RunFor(15);
+  BOOST_REQUIRE(updates.size() == 1U);
+  BOOST_TEST(updates[0].not_sent == (std::vector<std::uint32_t>{1, 2}));
+  BOOST_TEST(updates[0].failed.empty());
+  Answer(0, std::string(16, 'a'));
+  RunFor(15);
+  BOOST_REQUIRE(updates.size() == 2U);
+  BOOST_TEST(updates[1].parts.size() == 1U);
+  BOOST_TEST(server.InFlight() == 0U);
+}
+
 BOOST_FIXTURE_TEST_CASE(ACancelledBatchEndsAtTheRelay, fixture) {
   const std::uint64_t id = Send();
   RunFor(15);
