A router that stops closes its listening socket once

While it took no new connections it asked the HTTP server to quiesce every 20 ms, and the library returns the listening socket's number each time; closing it again closed whatever had the number by then. Ruled out: watches of suspended callers and of relay links (all are stopped before their descriptor is closed). Change: a second quiesce does nothing. Found by reading on the way: a connection that failed at once left a posted call to itself behind; it is a timer now, which ends with it. Test first: QuiescingTwiceClosesNothingElse (red before).

--- a/include/basilhoist/http/http_server.h
+++ b/include/basilhoist/http/http_server.h
@@ -89,7 +89,7 @@
   /// again.
   void CloseAfterReplies();
 
-  /// Stops accepting; requests in flight go on.
+  /// Stops accepting; requests in flight go on. A second call does nothing.
   void Quiesce();
 
   /// Closes the listening socket and every connection.
--- a/src/backend/backend_connection.cc
+++ b/src/backend/backend_connection.cc
@@ -99,7 +99,11 @@
   void Connect(const endpoint& to) {
     fd = ConnectSocket({}, to);
     if (fd < 0) {
-      loop.Post([this] { Fail(exchange_fault::kNotConnected); });
+      // A timer, not a post: it is cancelled when the connection goes away.
+      connect_timer = loop.After(microseconds(0), [this] {
+        connect_timer = 0;
+        Fail(exchange_fault::kNotConnected);
+      });
       return;
     }
     const int on = 1;
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -72,6 +72,7 @@
   unsigned connections = 0;
   unsigned idle_timeout_s = kIdleTimeoutSeconds;
   bool close_after_replies = false;
+  bool quiesced = false;
   std::set<exchange*> suspended;
 
   state(event_loop& the_loop, http_server_options the_options,
@@ -391,7 +392,9 @@
 bool http_server::Listening() const { return state_->daemon != nullptr; }
 
 void http_server::Quiesce() {
-  if (state_->daemon == nullptr) return;
+  if (state_->daemon == nullptr || state_->quiesced) return;
+  // The library would return the number again, which may be another's by then.
+  state_->quiesced = true;
   const int fd = MHD_quiesce_daemon(state_->daemon);
   if (fd >= 0) close(fd);
 }
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -141,6 +141,20 @@
   BOOST_TEST(one.Receive().find("Connection: close") != std::string::npos);
 }
 
+// Quetzal's hunt-8054-3: a router that stopped asked for this every 20 ms, and
+// each time closed whatever had the listening socket's number by then.
+BOOST_FIXTURE_TEST_CASE(QuiescingTwiceClosesNothingElse, fixture) {
+  RunFor(10);
+  server.Quiesce();
+  // Takes the lowest free number, which is the listening socket's.
+  const int other = socket(AF_INET, SOCK_STREAM, 0);
+  server.Quiesce();
+  int type = 0;
+  socklen_t size = sizeof type;
+  BOOST_TEST(getsockopt(other, SOL_SOCKET, SO_TYPE, &type, &size) == 0);
+  close(other);
+}
+
 // Quetzal's trouble-2: a request that waits in the socket when the server is
 // shut is left unread, so its caller knows that it has not run.
 BOOST_FIXTURE_TEST_CASE(AServerThatIsShutReadsNothingMore, fixture) {
