Events are gathered for 300 ms; answers leave 10 ms before the objective

Change: the next watch begins 300 ms after events (bounds for versions, drains and evacuations are 3 to 5 s); the margin before the objective is 10 ms, not 12.

--- a/include/basilhoist/knowledge/feed_state.h
+++ b/include/basilhoist/knowledge/feed_state.h
@@ -27,7 +27,7 @@
   static constexpr milliseconds kFirstRetry{100};
   static constexpr milliseconds kLongestRetry{800};
   /// Gathers changes that come in quick succession into one call.
-  static constexpr milliseconds kGather{100};
+  static constexpr milliseconds kGather{300};
 
   [[nodiscard]] feed_step Next() const;
 
--- a/src/router/request_gate.cc
+++ b/src/router/request_gate.cc
@@ -17,7 +17,7 @@
 constexpr int kHeadersTooLarge = 431;
 // For the way of the answer to its caller, and of the request before it was
 // read. An answer that misses the objective by a moment is worth little.
-constexpr milliseconds kObjectiveMargin{12};
+constexpr milliseconds kObjectiveMargin{10};
 // The same for the deadline, after which the caller does not listen.
 constexpr milliseconds kDeadlineMargin{10};
 // The routing table of a router that has just started is there within this.
