A relay and its sender keep to the same servers of a shard

Change: for what a relay has, or had, both order the usable servers the same way (the relay's domain first, then by a hash of request and run) and use the first max_attempts of them.

--- a/include/basilhoist/dispatch/service_call.h
+++ b/include/basilhoist/dispatch/service_call.h
@@ -24,6 +24,10 @@
   std::uint64_t fingerprint = 0;
   bool idempotent = false;
   unsigned max_attempts = 1;
+  /// Failure domain of the relay that has the request, if one has. The relay
+  /// and its sender may both send it; both keep to the same servers then, so
+  /// that it reaches no more of them than the route allows.
+  std::string relay_domain;
   microseconds objective{0};
   /// When the answer must be on its way for its full value.
   instant objective_at;
@@ -85,6 +89,7 @@
   attempt TrySend();
   void SendTo(const listed_server_ptr& server, bool extra);
   [[nodiscard]] bool MaySendMore() const;
+  [[nodiscard]] std::vector<listed_server_ptr> Candidates() const;
   void Continue();
   void ArmSecondSend();
   void OnSecondSendDue();
--- a/src/dispatch/fan_out_run.cc
+++ b/src/dispatch/fan_out_run.cc
@@ -95,15 +95,22 @@
              [self, shards = batch.shards](const relay_update& update) {
                self->OnUpdate(shards, update);
              },
-         .on_lost = [self, shards = batch.shards] { self->OnLost(shards); }});
+         .on_lost = [self, batch] { self->OnLost(batch); }});
     if (id == 0) return;
     batches_.push_back(id);
     for (const std::size_t shard : batch.shards) shards_[shard].relayed = true;
   }
 
-  std::shared_ptr<service_call> CallOf(std::size_t shard) {
+  std::shared_ptr<service_call> CallOf(std::size_t shard,
+                                       const std::string& relay_domain = {}) {
+    auto outbound = request_.outbound;
+    if (!relay_domain.empty()) {
+      auto relayed = std::make_shared<outbound_request>(*outbound);
+      relayed->relay_domain = relay_domain;
+      outbound = std::move(relayed);
+    }
     shards_[shard].call = std::make_shared<service_call>(
-        shared_, request_.outbound, request_.matched->shards[shard],
+        shared_, std::move(outbound), request_.matched->shards[shard],
         [self = shared_from_this(), shard](call_result result) {
           self->OnPart(shard, std::move(result));
         });
@@ -145,13 +152,13 @@
   }
 
   // The relay may have sent what it took; a send from here is an extra one.
-  void OnLost(const std::vector<std::size_t>& shards) {
+  void OnLost(const relay_batch& batch) {
     if (ended_) return;
     may_have_run_ = true;
-    for (const std::size_t shard : shards) {
+    for (const std::size_t shard : batch.shards) {
       if (ended_ || shards_[shard].at != progress::kPending) continue;
       shards_[shard].relayed = false;
-      CallOf(shard)->StartAfterLoss();
+      CallOf(shard, batch.failure_domain)->StartAfterLoss();
     }
   }
 
--- a/src/dispatch/service_call.cc
+++ b/src/dispatch/service_call.cc
@@ -1,5 +1,7 @@
 #include "basilhoist/dispatch/service_call.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -86,6 +88,27 @@
          Now() + kPoll < request_->deadline;
 }
 
+std::vector<listed_server_ptr> service_call::Candidates() const {
+  std::vector<listed_server_ptr> usable;
+  for (const listed_server_ptr& each : shared_.directory.Of(service_)) {
+    if (shared_.directory.MayUse(*each)) usable.push_back(each);
+  }
+  const std::size_t most = request_->max_attempts;
+  if (request_->relay_domain.empty() || usable.size() <= most) return usable;
+  const auto order = [this](const listed_server_ptr& server) {
+    const bool far = server->info.failure_domain != request_->relay_domain;
+    const std::string& id = request_->request_id;
+    return std::pair(far, XXH64(id.data(), id.size(), server->info.RunHash()));
+  };
+  std::sort(
+      usable.begin(), usable.end(),
+      [&order](const listed_server_ptr& left, const listed_server_ptr& right) {
+        return order(left) < order(right);
+      });
+  usable.resize(most);
+  return usable;
+}
+
 service_call::attempt service_call::TrySend() {
   if (!MaySendMore()) return attempt::kNever;
   const instant now = Now();
@@ -93,9 +116,8 @@
   std::vector<replica> replicas;
   std::vector<listed_server_ptr> servers;
   bool too_cold = false;
-  for (const listed_server_ptr& each : shared_.directory.Of(service_)) {
-    if (!shared_.directory.MayUse(*each) || tried_.contains(each->key))
-      continue;
+  for (const listed_server_ptr& each : Candidates()) {
+    if (tried_.contains(each->key)) continue;
     if (shared_.TooCold(*each, now)) {
       too_cold = true;
       continue;
--- a/src/relay/relay_server.cc
+++ b/src/relay/relay_server.cc
@@ -29,6 +29,7 @@
     outbound->fingerprint = request.fingerprint;
     outbound->idempotent = true;
     outbound->max_attempts = request.max_attempts;
+    outbound->relay_domain = shared.options.failure_domain;
     outbound->objective = microseconds(request.objective_us);
     outbound->objective_at = now + microseconds(request.objective_left_us);
     outbound->deadline = now + microseconds(request.deadline_left_us);
--- a/tests/service_call_test.cc
+++ b/tests/service_call_test.cc
@@ -239,6 +239,31 @@
   BOOST_TEST(ended.empty());
 }
 
+// Replays quiet-1 of the grown quetzal site: a relay that was slow to say that
+// it had the request sent it to two servers, and its sender to a third.
+BOOST_FIXTURE_TEST_CASE(ARelayAndItsSenderKeepToTheSameServers, fixture) {
+  List({"a", "b", "c", "d"});
+  std::set<std::string> reached;
+  for (int instance = 0; instance < 6; ++instance) {
+    sender.sent.clear();
+    auto request = std::make_shared<outbound_request>();
+    request->request_id = "r1";
+    request->route_name = "r";
+    request->idempotent = true;
+    request->max_attempts = 2;
+    request->relay_domain = "far";
+    request->objective = milliseconds(120);
+    request->objective_at = Now() + milliseconds(120);
+    request->deadline = Now() + milliseconds(600);
+    call = std::make_shared<service_call>(shared, request, "s",
+                                          [](const call_result&) {});
+    call->Start();
+    sender.Reply(0, Failure());
+    for (const auto& each : sender.sent) reached.insert(each.server);
+  }
+  BOOST_TEST(reached.size() == 2U);
+}
+
 // Whatever servers do, a request that is not idempotent runs at most once,
 // and a result that denies it was run is true.
 RC_BOOST_FIXTURE_PROP(NeverRunsTwice, fixture, ()) {
