The demo shows the platform path

A fan-out answer with its coverage, one with a shard without servers, and a routing table in force on all routers, each checked.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -6,6 +6,7 @@
 import time
 
 import fleet
+import platform_rig
 
 QUERIES = {"quetzal": ["matchday-desk", "assessor-portal"],
            "sao-bang": ["sighting-search", "clip-archive"]}
@@ -116,6 +117,49 @@
     expect(code == 0 and len(servers) > 0, "a dump shows an instance's state")
 
 
+def show_platform(logs):
+    """The platform path: routers, the store's protocol, shards on loopback."""
+    print("== platform: 4 routers, 8 shards with 2 servers each")
+    rig = platform_rig.Rig(logs, shards=8)
+    try:
+        rig.start()
+        time.sleep(1)  # until routers have heard each other
+        show_fan_out(rig, "/all/demo?find=free%20on%20sunday", 0)
+        for server in rig.of("shard-3"):
+            rig.crash(server.id)
+        show_fan_out(rig, "/all/less", 1)
+        show_change(rig)
+    finally:
+        rig.stop()
+
+
+def show_fan_out(rig, target, missing):
+    status, headers, body = rig.ask(1, target)
+    left_out = headers.get("basilhoist-missing-shards")
+    print(f"   {target}: {status}, {len(body) // platform_rig.RECORD} records, "
+          f"{left_out} of {len(rig.shards())} shards missing")
+    expect(status == 200 and int(left_out) == missing,
+           f"an answer that says that it lacks {missing} shards")
+    expect(body == rig.expected_records(headers["basilhoist-shard-stamps"],
+                                        target),
+           "its records are the greatest of the parts it names")
+
+
+def show_change(rig):
+    routes = rig.routing(0)["routes"]
+    routes[1] = dict(routes[1], pathPrefix="/moved/")
+    began = time.monotonic()
+    version = rig.publish(routes=routes)
+    rig.wait(lambda: all(rig.dump(n)["table_version"] == version
+                         for n in range(rig.count)))
+    took_ms = (time.monotonic() - began) * 1000
+    print(f"   version {version} in force on {rig.count} routers "
+          f"after {took_ms:.0f} ms")
+    expect(took_ms < 3000, "a new routing table is in force within 3 s")
+    expect(rig.ask(0, "/moved/x")[0] == 200 and rig.ask(0, "/get/x")[0] == 404,
+           "its route is served, the former one is not")
+
+
 def main():
     with tempfile.TemporaryDirectory() as logs:
         for name in fleet.SITES:
@@ -127,6 +171,7 @@
                 show_drain(site)
                 show_partial(site)
                 show_dump(site)
+        show_platform(logs)
     print("demo:", "as expected" if not faults else f"{len(faults)} faults")
     sys.exit(1 if faults else 0)
 
