--- a/include/basilhoist/link/messages.h
+++ b/include/basilhoist/link/messages.h
@@ -209,7 +209,7 @@
   /// Shards that the relay could send to no server; it may know less of them
   /// than the sender.
   std::vector<std::uint32_t> not_sent;
-  bool may_have_run = false;          ///< A failed shard may have run it.
+  bool may_have_run = false;  ///< A failed shard may have run it.
 
   bool operator==(const relay_update&) const = default;
 };
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -61,7 +61,7 @@
     where.sin_family = AF_INET;
     where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof where;
-    bind(fd, reinterpret_cast<sockaddr*>(&where), size);
+    static_cast<void>(bind(fd, reinterpret_cast<sockaddr*>(&where), size));
     getsockname(fd, reinterpret_cast<sockaddr*>(&where), &size);
     close(fd);
     return ntohs(where.sin_port);
