--- a/tests/backend_connection_test.cc
+++ b/tests/backend_connection_test.cc
@@ -29,7 +29,7 @@
   backend_reply ended;
   backend_connection connection(loop, server.Address(), [] {});
   connection.Send(std::move(request), [&](const backend_reply& reply) {
-    ended = std::move(reply);
+    ended = reply;
     loop.Stop();
   });
   loop.After(milliseconds(3000), [&] {
@@ -117,7 +117,7 @@
   backend_reply ended;
   backend_connection connection(loop, nobody, [] {});
   connection.Send(Request(), [&](const backend_reply& reply) {
-    ended = std::move(reply);
+    ended = reply;
     loop.Stop();
   });
   loop.Run();
