--- a/include/basilhoist/dispatch/replica_choice.h
+++ b/include/basilhoist/dispatch/replica_choice.h
@@ -27,7 +27,7 @@
 double ExpectedTime(const replica& value, double tie);
 
 /// Chooses the replica with the least expected time.
-/// @param random gives numbers from 0 to 1
+/// @param tie a random number from 0 to 1 that decides between equals
 /// @return its index, or nothing where none has room or may be sent to now
 std::optional<std::size_t> ChooseReplica(const std::vector<replica>& replicas,
                                          instant now, double tie);
