--- a/apps/standin_platform.cc
+++ b/apps/standin_platform.cc
@@ -9,16 +9,23 @@
 
 #include "basilhoist/http/http_server.h"
 #include "basilhoist/ops/log.h"
+#include "basilhoist/store/plain_dialect.h"
 #include "platform_store.h"
 
 namespace {
 
+using basilhoist::call_outcome;
 using basilhoist::http_exchange;
 using basilhoist::http_reply;
 using basilhoist::milliseconds;
-using basilhoist::store_outcome;
-using basilhoist::store_reply;
-using basilhoist::stored_object;
+using basilhoist::object;
+using basilhoist::object_events;
+using basilhoist::object_page;
+using basilhoist::PlainEvents;
+using basilhoist::PlainObject;
+using basilhoist::PlainPage;
+using basilhoist::ReadStoreBody;
+using basilhoist::standin::write_result;
 using nlohmann::json;
 using exchange_ptr = std::shared_ptr<http_exchange>;
 
@@ -36,6 +43,11 @@
 // A call that gets no answer is held for so long, then closed.
 constexpr milliseconds kHoldTime{4000};
 
+constexpr std::string_view kObjectsPath = "/v1/objects/";
+constexpr std::string_view kWatchPath = "/v1/watch/";
+// The kind that lists what POST /control names as instances.
+constexpr std::string_view kInstances = "instances";
+
 class platform {
  public:
   platform(basilhoist::event_loop& loop, const std::string& address,
@@ -49,7 +61,7 @@
  private:
   struct waiting_watch {
     exchange_ptr exchange;
-    std::string prefix;
+    std::string kind;
     std::uint64_t after = 0;
   };
 
@@ -76,16 +88,24 @@
   }
 
   void Serve(const exchange_ptr& exchange) {
-    const std::string& path = exchange->Path();
-    constexpr std::string_view kObjects = "/v1/objects/";
-    if (path.starts_with(kObjects)) {
-      ServeObject(exchange, path.substr(kObjects.size()));
-    } else if (path == "/v1/watch") {
-      ServeWatch(exchange);
-    } else if (path == "/v1/instances") {
-      exchange->Reply({.body = json{{"instances", instances_}}.dump()});
-    } else {
+    const std::string_view path = exchange->Path();
+    if (path.starts_with(kWatchPath)) {
+      ServeWatch(exchange, std::string(path.substr(kWatchPath.size())));
+      return;
+    }
+    if (!path.starts_with(kObjectsPath)) {
       exchange->Reply({.status = 404, .body = "{}"});
+      return;
+    }
+    const std::string_view rest = path.substr(kObjectsPath.size());
+    const std::size_t slash = rest.find('/');
+    const std::string kind(rest.substr(0, slash));
+    if (slash != std::string_view::npos) {
+      ServeObject(exchange, kind, std::string(rest.substr(slash + 1)));
+    } else if (exchange->Method() == "POST") {
+      ServeWrite(exchange, kind, {});
+    } else {
+      ServeList(exchange, kind);
     }
   }
 
@@ -93,59 +113,74 @@
     return std::strtoull(exchange->Argument(name).c_str(), nullptr, 10);
   }
 
-  static json ToJson(const std::vector<stored_object>& objects) {
-    json list = json::array();
-    for (const auto& each : objects) {
-      list.push_back({{"key", each.key},
-                      {"revision", each.revision},
-                      {"content", each.content}});
+  void ServeList(const exchange_ptr& exchange, const std::string& kind) {
+    ++reads_;
+    object_page page{.revision = store_.Revision()};
+    page.objects =
+        kind == kInstances ? Instances() : store_.ChangedSince(kind, 0);
+    exchange->Reply({.body = PlainPage(page).dump()});
+  }
+
+  std::vector<object> Instances() const {
+    std::vector<object> list;
+    for (const json& each : instances_) {
+      list.push_back(
+          {.name = each.value("name", ""), .revision = 1, .content = each});
     }
     return list;
   }
 
-  void ServeObject(const exchange_ptr& exchange, const std::string& key) {
-    if (exchange->Method() == "GET") {
-      ++reads_;
-      const stored_object object = store_.Get(key);
-      const int status = object.revision == 0 ? 404 : 200;
-      exchange->Reply({.status = status,
-                       .body = json{{"revision", object.revision},
-                                    {"objects", ToJson({object})}}
-                                   .dump()});
+  void ServeObject(const exchange_ptr& exchange, const std::string& kind,
+                   const std::string& name) {
+    if (exchange->Method() != "GET") {
+      ServeWrite(exchange, kind, name);
       return;
     }
+    ++reads_;
+    const object found = store_.Get(kind, name);
+    exchange->Reply({.status = found.revision == 0 ? 404 : 200,
+                     .body = PlainObject(found).dump()});
+  }
+
+  // A name in the path is the object's; one that is created names itself.
+  void ServeWrite(const exchange_ptr& exchange, const std::string& kind,
+                  const std::string& name) {
     ++writes_;
-    const std::uint64_t expected = Number(exchange, "if_revision");
-    const store_reply reply = exchange->Method() == "PUT"
-                                  ? store_.Put(key, expected, exchange->Body())
-                                  : store_.Remove(key, expected);
+    write_result written;
+    if (exchange->Method() == "DELETE") {
+      written = store_.Remove(kind, name, Number(exchange, "revision"));
+    } else {
+      auto value =
+          ReadStoreBody<object>(exchange->Body(), basilhoist::ReadPlainObject);
+      if (!value) {
+        exchange->Reply({.status = 400, .body = "{}"});
+        return;
+      }
+      if (!name.empty()) value->name = name;
+      written = store_.Put(kind, *value);
+    }
     if (lose_answers_ > 0) {
       --lose_answers_;
       Hold(exchange);
     } else {
-      ReplyWrite(exchange, reply);
+      ReplyWrite(exchange, written);
     }
     Notify();
   }
 
   static void ReplyWrite(const exchange_ptr& exchange,
-                         const store_reply& reply) {
+                         const write_result& written) {
     int status = 200;
-    if (reply.outcome == store_outcome::kConflict) status = 409;
-    if (reply.outcome == store_outcome::kMissing) status = 404;
+    if (written.outcome == call_outcome::kConflict) status = 409;
+    if (written.outcome == call_outcome::kMissing) status = 404;
     exchange->Reply(
-        {.status = status, .body = json{{"revision", reply.revision}}.dump()});
+        {.status = status, .body = PlainObject(written.value).dump()});
   }
 
-  void ServeWatch(const exchange_ptr& exchange) {
+  void ServeWatch(const exchange_ptr& exchange, const std::string& kind) {
     ++watches_;
-    const waiting_watch watch{exchange, exchange->Argument("prefix"),
-                              Number(exchange, "after")};
-    if (watch.after == 0 || Answer(watch)) {
-      if (watch.after == 0)
-        ReplyWatch(watch, store_.ChangedSince(watch.prefix, 0));
-      return;
-    }
+    const waiting_watch watch{exchange, kind, Number(exchange, "after")};
+    if (Answer(watch)) return;
     watching_.push_back(watch);
     loop_.After(milliseconds(Number(exchange, "wait_ms")), [this, exchange] {
       for (auto it = watching_.begin(); it != watching_.end(); ++it) {
@@ -158,15 +193,14 @@
   }
 
   void ReplyWatch(const waiting_watch& watch,
-                  const std::vector<stored_object>& changed) {
-    exchange_ptr exchange = watch.exchange;
-    exchange->Reply({.body = json{{"revision", store_.Revision()},
-                                  {"objects", ToJson(changed)}}
-                                 .dump()});
+                  const std::vector<object>& changed) {
+    object_events seen{.revision = store_.Revision()};
+    for (const object& each : changed) seen.events.push_back({.changed = each});
+    watch.exchange->Reply({.body = PlainEvents(seen).dump()});
   }
 
   bool Answer(const waiting_watch& watch) {
-    const auto changed = store_.ChangedSince(watch.prefix, watch.after);
+    const auto changed = store_.ChangedSince(watch.kind, watch.after);
     if (changed.empty()) return false;
     ReplyWatch(watch, changed);
     return true;
--- a/include/basilhoist/ctl/change.h
+++ b/include/basilhoist/ctl/change.h
@@ -5,7 +5,7 @@
 #include <functional>
 #include <string>
 
-#include "basilhoist/document/store_client.h"
+#include "basilhoist/store/object_store.h"
 
 namespace basilhoist {
 
@@ -38,7 +38,8 @@
 
 /// One change of one document.
 struct document_change {
-  std::string key;           ///< In the store.
+  std::string kind;          ///< Of the document in the store.
+  std::string name;          ///< Of the document, e.g. "drains".
   std::string operation_id;  ///< Tells this change from all others.
   /// Version that the operator saw; 0 for whatever is newest.
   std::uint64_t based_on = 0;
@@ -58,22 +59,22 @@
  public:
   using callback = std::function<void(const change_result&)>;
 
-  change_task(event_loop& loop, store_client& store, document_change change,
+  change_task(event_loop& loop, object_store& store, document_change change,
               callback done);
 
   void Start();
 
  private:
   void Read();
-  void OnRead(const store_reply& reply);
-  void Write(const stored_object& present);
-  void OnWrite(const store_reply& reply, std::uint64_t version);
+  void OnRead(call_outcome outcome, const object& present);
+  void Write(const object& present);
+  void OnWrite(call_outcome outcome, std::uint64_t version);
   void ReadBack(std::uint64_t version);
   void Finish(change_outcome outcome, std::uint64_t version,
               const std::string& detail);
 
   event_loop& loop_;
-  store_client& store_;
+  object_store& store_;
   document_change change_;
   callback done_;
   std::string written_;  // what the latest write held
--- a/include/basilhoist/ctl/ctl_session.h
+++ b/include/basilhoist/ctl/ctl_session.h
@@ -9,14 +9,20 @@
 
 namespace basilhoist {
 
+/// What the store said of one object.
+struct store_answer {
+  call_outcome outcome = call_outcome::kNotDone;
+  object found;
+};
+
 /// Runs the event loop for the calls of one command.
 class ctl_session {
  public:
   /// @param given names the store and the instances
   explicit ctl_session(const ctl_arguments& given);
 
-  /// @return the store's answer for a key
-  store_reply Get(const std::string& key);
+  /// @return the store's answer for one object
+  store_answer Get(const std::string& kind, const std::string& name);
 
   /// Makes a change; numbered above what any instance holds.
   /// @param document the document's name, e.g. "drains"
@@ -27,7 +33,7 @@
  private:
   event_loop loop_;
   http_client http_;
-  store_client store_;
+  object_store store_;
   fleet_query fleet_;
 };
 
--- a/include/basilhoist/document/document_sync.h
+++ b/include/basilhoist/document/document_sync.h
@@ -5,16 +5,16 @@
 #include <string>
 
 #include "basilhoist/document/document_table.h"
-#include "basilhoist/document/store_client.h"
+#include "basilhoist/store/object_store.h"
 
 namespace basilhoist {
 
 /// Watches the store while it is this instance's turn to.
 class document_sync {
  public:
-  /// @param site prefix of the site's keys
+  /// @param site whose documents to watch
   /// @param is_watcher asked before each watch
-  document_sync(event_loop& loop, store_client& store,
+  document_sync(event_loop& loop, object_store& store,
                 document_table& documents, std::string site,
                 std::function<bool()> is_watcher);
 
@@ -24,15 +24,18 @@
   [[nodiscard]] bool StoreUp() const { return store_up_; }
 
  private:
+  void Continue();
+  void List(const std::string& after);
   void Watch();
-  void OnWatch(const store_reply& reply);
+  [[nodiscard]] bool Check(call_outcome outcome);
+  void Take(const object& stored);
 
   event_loop& loop_;
-  store_client& store_;
+  object_store& store_;
   document_table& documents_;
-  std::string site_;
+  std::string kind_;
   std::function<bool()> is_watcher_;
-  std::uint64_t after_ = 0;
+  std::uint64_t revision_ = 0;  // of the store; 0: to be listed
   bool store_up_ = false;
 };
 
--- a/include/basilhoist/document/document_table.h
+++ b/include/basilhoist/document/document_table.h
@@ -49,6 +49,9 @@
   std::vector<subscriber> subscribers_;
 };
 
+/// @return the kind of a site's documents in the store
+std::string DocumentKind(const std::string& site);
+
 /// Reads the version that a document's content states.
 /// @return the version, or 0 if there is none
 std::uint64_t ContentVersion(const std::string& content);
--- a/include/basilhoist/member/member_task.h
+++ b/include/basilhoist/member/member_task.h
@@ -8,9 +8,9 @@
 #include <string>
 
 #include "basilhoist/document/document_table.h"
-#include "basilhoist/document/store_client.h"
 #include "basilhoist/member/ownership.h"
 #include "basilhoist/member/peer_mesh.h"
+#include "basilhoist/store/object_store.h"
 
 namespace basilhoist {
 
@@ -32,7 +32,7 @@
 /// Runs ownership over the mesh and the store.
 class member_task {
  public:
-  member_task(event_loop& loop, peer_mesh& mesh, store_client& store,
+  member_task(event_loop& loop, peer_mesh& mesh, object_store& store,
               document_table& documents, member self, member_options options);
 
   /// Starts heartbeats and proposals.
@@ -92,7 +92,12 @@
   void Tick();
   void Propose();
   void WriteView(const member_view& proposed, std::uint64_t revision);
+  void OnStoredView(const member_view& next, call_outcome outcome,
+                    const object& found);
   void ReadInstances();
+  void ReadInstances(const std::string& after,
+                     const std::shared_ptr<std::set<std::string>>& present);
+  void OnInstances(const std::set<std::string>& present);
   [[nodiscard]] bool NeedsList() const;
   [[nodiscard]] bool MayPropose() const;
   [[nodiscard]] std::optional<member_view> NextView() const;
@@ -100,7 +105,7 @@
 
   event_loop& loop_;
   peer_mesh& mesh_;
-  store_client& store_;
+  object_store& store_;
   document_table& documents_;
   member_options options_;
   ownership ownership_;
--- a/include/basilhoist/once/once_task.h
+++ b/include/basilhoist/once/once_task.h
@@ -6,8 +6,8 @@
 #include <memory>
 #include <string>
 
-#include "basilhoist/document/store_client.h"
 #include "basilhoist/entry/entry_task.h"
+#include "basilhoist/store/object_store.h"
 
 namespace basilhoist {
 
@@ -38,7 +38,7 @@
  public:
   using answer_callback = std::function<void(const once_answer&)>;
 
-  once_task(event_loop& loop, store_client& store, entry_task& entry,
+  once_task(event_loop& loop, object_store& store, entry_task& entry,
             once_options options);
 
   /// Claims the request's id, runs it, and records its outcome.
@@ -53,7 +53,8 @@
   struct work;
   using work_ptr = std::shared_ptr<work>;
 
-  void OnClaim(const work_ptr& current, const store_reply& reply);
+  void OnClaim(const work_ptr& current, call_outcome outcome,
+               std::uint64_t revision);
   void ReadBack(const work_ptr& current);
   void OnHeld(const work_ptr& current, std::uint64_t revision);
   void OnRepeat(const work_ptr& current, const std::string& content);
@@ -65,9 +66,10 @@
                                       const std::string& outcome) const;
 
   event_loop& loop_;
-  store_client& store_;
+  object_store& store_;
   entry_task& entry_;
   once_options options_;
+  std::string kind_;  // of claims in the store
   std::uint64_t last_claim_ = 0;
   once_counters counters_;
 };
--- a/include/basilhoist/store/object.h
+++ b/include/basilhoist/store/object.h
@@ -24,6 +24,11 @@
   object_content content;
 
   bool operator==(const object&) const = default;
+
+  /// @return the content if it is one text, else nothing
+  [[nodiscard]] std::string Text() const {
+    return content.is_string() ? content.get<std::string>() : std::string();
+  }
 };
 
 /// One page of a listing.
@@ -71,6 +76,11 @@
       std::string_view kind, std::string_view name) const = 0;
   [[nodiscard]] virtual std::string KindTarget(std::string_view kind) const = 0;
 
+  /// @param revision the condition; 0: none
+  [[nodiscard]] virtual std::string RemoveTarget(
+      std::string_view kind, std::string_view name,
+      std::uint64_t revision) const = 0;
+
   /// @return the body that writes an object; its revision, unless 0, is the
   ///   condition
   [[nodiscard]] virtual std::string EncodeObject(const object& value) const = 0;
@@ -84,4 +94,15 @@
       std::string_view body) const = 0;
 };
 
+/// Reads a body by a function that throws where a part is missing.
+/// @return nothing if one is; the store's client reports it as unknown
+template <typename Value, typename Reader>
+std::optional<Value> ReadStoreBody(std::string_view body, Reader read) {
+  try {
+    return read(nlohmann::json::parse(body));
+  } catch (const nlohmann::json::exception&) {
+    return std::nullopt;
+  }
+}
+
 }  // namespace basilhoist
--- a/include/basilhoist/store/object_store.h
+++ b/include/basilhoist/store/object_store.h
@@ -32,6 +32,7 @@
   milliseconds call_timeout{1500};
   /// How long a watch may wait for a change.
   milliseconds watch_wait{20000};
+  std::string local_address;  ///< IP number to call from; empty: any.
 };
 
 /// Calls the store. Never repeats a call by itself.
@@ -50,6 +51,10 @@
   std::uint64_t Watch(const std::string& kind, std::uint64_t revision,
                       answer<object_events> done);
 
+  /// Reads one object.
+  void Get(const std::string& kind, const std::string& name,
+           answer<object> done);
+
   /// Creates an object; kConflict if it exists.
   void Create(const std::string& kind, const object& value,
               answer<object> done);
@@ -58,6 +63,13 @@
   void Replace(const std::string& kind, const object& value,
                answer<object> done);
 
+  /// Creates an object if its revision is 0, else replaces that revision.
+  void Put(const std::string& kind, const object& value, answer<object> done);
+
+  /// Removes an object; its revision, unless 0, is the condition.
+  void Remove(const std::string& kind, const std::string& name,
+              std::uint64_t revision, answer<object> done);
+
   /// Drops a call; it may still take effect.
   void Abandon(std::uint64_t call) { http_.Abandon(call); }
 
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -24,7 +24,8 @@
 STORE_PORT = 7000
 
 # Loopback networks are shared by all runs on the machine: each fleet claims
-# a slot of its own by a port that it keeps bound.
+# a slot of its own by a port that it keeps bound. Its processes hold the port,
+# too, so that those which outlive a killed run keep others out.
 SLOTS = 7
 SLOT_STEP = 32
 CLAIM_PORT = 7999
@@ -142,7 +143,7 @@
         self.files.append(log)
         self.processes[name] = subprocess.Popen(
             [str(word) for word in words], stdout=log, stderr=log,
-            cwd=ROOT)
+            cwd=ROOT, pass_fds=[self.claim.fileno()])
 
     def start(self):
         self.start_platform()
@@ -272,10 +273,14 @@
             for n in range(self.count) if n not in gone])
 
     def put_document(self, name, content):
-        url = f"http://{self.store}/v1/objects/{self.site}.doc.{name}"
-        present = http("GET", url)[1]
-        revision = present.get("revision", 0) if isinstance(present, dict) else 0
-        return http("PUT", f"{url}?if_revision={revision}", content)[0] == 200
+        url = f"http://{self.store}/v1/objects/{self.site}.doc"
+        status, present, _ = http("GET", f"{url}/{name}")
+        revision = present["revision"] if status == 200 else 0
+        written = {"name": name, "revision": revision,
+                   "content": json.dumps(content)}
+        if revision == 0:
+            return http("POST", url, written)[0] == 200
+        return http("PUT", f"{url}/{name}", written)[0] == 200
 
     def group_services(self):
         return {name: group["services"]
--- a/src/ctl/change.cc
+++ b/src/ctl/change.cc
@@ -27,7 +27,7 @@
   return value.is_object() ? value.value("operation_id", "") : "";
 }
 
-change_task::change_task(event_loop& loop, store_client& store,
+change_task::change_task(event_loop& loop, object_store& store,
                          document_change change, callback done)
     : loop_(loop),
       store_(store),
@@ -43,22 +43,21 @@
 }
 
 void change_task::Read() {
-  store_.Get(change_.key, [this](const store_reply& reply) { OnRead(reply); });
+  store_.Get(change_.kind, change_.name,
+             [this](call_outcome outcome, const object& present) {
+               OnRead(outcome, present);
+             });
 }
 
-void change_task::OnRead(const store_reply& reply) {
-  const bool missing = reply.outcome == store_outcome::kMissing;
-  const bool found =
-      reply.outcome == store_outcome::kOk && !reply.objects.empty();
-  if (!missing && !found) {
+void change_task::OnRead(call_outcome outcome, const object& present) {
+  if (outcome != call_outcome::kMissing && outcome != call_outcome::kOk) {
     Finish(change_outcome::kFailed, 0, "The store cannot be read.");
     return;
   }
-  const stored_object present =
-      found ? reply.objects.front() : stored_object{.key = change_.key};
-  const std::uint64_t version = ContentVersion(present.content);
-  if (ContentOperation(present.content) == change_.operation_id) {
-    written_ = present.content;
+  const std::string content = present.Text();
+  const std::uint64_t version = ContentVersion(content);
+  if (ContentOperation(content) == change_.operation_id) {
+    written_ = content;
     Finish(change_outcome::kAccepted, version, "It had been accepted before.");
     return;
   }
@@ -66,38 +65,44 @@
   if (change_.based_on != 0 && change_.based_on != newest) {
     Finish(change_outcome::kOutrun, newest,
            "Version " + std::to_string(newest) + " (operation " +
-               ContentOperation(present.content) + ") came first; see diff.");
+               ContentOperation(content) + ") came first; see diff.");
     return;
   }
   Write(present);
 }
 
-void change_task::Write(const stored_object& present) {
+void change_task::Write(const object& present) {
+  const std::string content = present.Text();
   const std::uint64_t version =
-      std::max(ContentVersion(present.content), change_.known_version) + 1;
-  const next_content next = change_.make(present.content, version);
+      std::max(ContentVersion(content), change_.known_version) + 1;
+  const next_content next = change_.make(content, version);
   if (!next.possible) {
     Finish(change_outcome::kRefused, version - 1, next.detail);
     return;
   }
   expected_revision_ = present.revision;
   written_ = next.content;
-  store_.Put(
-      change_.key, present.revision, next.content,
-      [this, version](const store_reply& reply) { OnWrite(reply, version); });
+  store_.Put(change_.kind,
+             {.name = change_.name,
+              .revision = present.revision,
+              .content = next.content},
+             [this, version](call_outcome outcome, const object&) {
+               OnWrite(outcome, version);
+             });
 }
 
-void change_task::OnWrite(const store_reply& reply, std::uint64_t version) {
-  switch (reply.outcome) {
-    case store_outcome::kOk:
+void change_task::OnWrite(call_outcome outcome, std::uint64_t version) {
+  switch (outcome) {
+    case call_outcome::kOk:
       Finish(change_outcome::kAccepted, version, "");
       break;
-    case store_outcome::kUnavailable:
-    case store_outcome::kMissing:
+    case call_outcome::kNotDone:
+    case call_outcome::kMissing:
+    case call_outcome::kHistoryGone:
       Finish(change_outcome::kFailed, 0, "The store did not take the change.");
       break;
-    case store_outcome::kConflict:
-    case store_outcome::kUnknown:
+    case call_outcome::kConflict:
+    case call_outcome::kUnknown:
       ReadBack(version);
       break;
   }
@@ -107,11 +112,10 @@
 // tells. A write whose answer was lost is never made again blindly; while the
 // object is unchanged, the lost write may still be on its way.
 void change_task::ReadBack(std::uint64_t version) {
-  store_.Get(change_.key, [this, version](const store_reply& reply) {
-    const bool found =
-        reply.outcome == store_outcome::kOk && !reply.objects.empty();
-    const std::uint64_t revision = found ? reply.objects.front().revision : 0;
-    const std::string content = found ? reply.objects.front().content : "";
+  const auto done = [this, version](call_outcome outcome,
+                                    const object& present) {
+    const bool found = outcome == call_outcome::kOk;
+    const std::string content = present.Text();
     if (found && ContentOperation(content) == change_.operation_id) {
       Finish(change_outcome::kAccepted, version, "");
       return;
@@ -121,7 +125,7 @@
              "Ask again with operation id " + change_.operation_id + ".");
       return;
     }
-    if (found && revision != expected_revision_) {
+    if (found && present.revision != expected_revision_) {
       // Another write took the place of ours, which can take effect no more.
       if (change_.mergeable) {
         Read();
@@ -132,7 +136,8 @@
       return;
     }
     loop_.After(kTryAgainAfter, [this, version] { ReadBack(version); });
-  });
+  };
+  store_.Get(change_.kind, change_.name, done);
 }
 
 }  // namespace basilhoist
--- a/src/ctl/change_commands.cc
+++ b/src/ctl/change_commands.cc
@@ -137,7 +137,8 @@
   const std::string based_on = ArgumentText(given, "--based-on");
   ctl_session calls(given);
   document_change change{
-      .key = settings.site + ".doc." + kConfigDocument,
+      .kind = DocumentKind(settings.site),
+      .name = kConfigDocument,
       .operation_id = operation,
       .based_on = based_on.empty() ? 0 : std::stoull(based_on)};
   change.make = [&](const std::string&, std::uint64_t version) {
@@ -160,16 +161,16 @@
                                     ? MakeOperationId()
                                     : ArgumentText(given, "--operation");
   ctl_session calls(given);
-  const auto accepted = calls.Get(site + ".doc." + kConfigDocument);
-  if (!accepted.objects.empty()) {
-    const std::string fault =
-        FindNameFault(accepted.objects.front().content, which);
+  const auto accepted = calls.Get(DocumentKind(site), kConfigDocument);
+  if (accepted.outcome == call_outcome::kOk) {
+    const std::string fault = FindNameFault(accepted.found.Text(), which);
     if (!fault.empty()) {
       return Report(calls, given, kDrainsDocument, operation,
                     {change_outcome::kRefused, 0, fault});
     }
   }
-  document_change change{.key = site + ".doc." + kDrainsDocument,
+  document_change change{.kind = DocumentKind(site),
+                         .name = kDrainsDocument,
                          .operation_id = operation,
                          .mergeable = true};
   change.make = [&](const std::string& present, std::uint64_t version) {
--- a/src/ctl/ctl_session.cc
+++ b/src/ctl/ctl_session.cc
@@ -2,17 +2,21 @@
 
 #include <utility>
 
+#include "basilhoist/store/plain_dialect.h"
+
 namespace basilhoist {
 
 ctl_session::ctl_session(const ctl_arguments& given)
     : http_(loop_),
-      store_(http_, ArgumentText(given, "--store"), ""),
+      store_(http_, {.address = ArgumentText(given, "--store"),
+                     .dialect = MakePlainDialect()}),
       fleet_(loop_, http_, ArgumentText(given, "--instances")) {}
 
-store_reply ctl_session::Get(const std::string& key) {
-  store_reply got;
-  store_.Get(key, [&](const store_reply& reply) {
-    got = reply;
+store_answer ctl_session::Get(const std::string& kind,
+                              const std::string& name) {
+  store_answer got;
+  store_.Get(kind, name, [&](call_outcome outcome, const object& found) {
+    got = {outcome, found};
     loop_.Stop();
   });
   loop_.Run();
--- a/src/ctl/settings_commands.cc
+++ b/src/ctl/settings_commands.cc
@@ -102,15 +102,14 @@
                   ReadMerged(ArgumentText(given, "BASE"), overlays.front()));
   BOOST_LEAF_AUTO(settings, CheckSettings(merged));
   ctl_session calls(given);
-  const auto reply = calls.Get(settings.site + ".doc." + kConfigDocument);
-  const bool found = !reply.objects.empty();
-  if (!found && reply.outcome != store_outcome::kMissing) {
+  const auto reply = calls.Get(DocumentKind(settings.site), kConfigDocument);
+  const bool found = reply.outcome == call_outcome::kOk;
+  if (!found && reply.outcome != call_outcome::kMissing) {
     std::cerr << "the store cannot be read\n";
     return kExitFailed;
   }
   const json content =
-      found ? json::parse(reply.objects.front().content, nullptr, false)
-            : json::object();
+      found ? json::parse(reply.found.Text(), nullptr, false) : json::object();
   const json accepted = content.value("value", json::object());
   const json patch = json::diff(accepted, merged.value);
   const auto version = content.value("version", std::uint64_t{0});
--- a/src/document/document_sync.cc
+++ b/src/document/document_sync.cc
@@ -1,5 +1,6 @@
 #include "basilhoist/document/document_sync.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -9,52 +10,80 @@
 namespace {
 
 constexpr microseconds kRetryAfter = milliseconds(300);
-constexpr std::array<const char*, 4> kDocuments{
+constexpr std::array<std::string_view, 4> kDocuments{
     kConfigDocument, kDrainsDocument, kIndexDocument, kViewDocument};
 
 }  // namespace
 
-document_sync::document_sync(event_loop& loop, store_client& store,
+document_sync::document_sync(event_loop& loop, object_store& store,
                              document_table& documents, std::string site,
                              std::function<bool()> is_watcher)
     : loop_(loop),
       store_(store),
       documents_(documents),
-      site_(std::move(site)),
+      kind_(DocumentKind(site)),
       is_watcher_(std::move(is_watcher)) {}
 
-void document_sync::Start() { Watch(); }
+void document_sync::Start() { Continue(); }
 
-void document_sync::Watch() {
+void document_sync::Continue() {
   if (!is_watcher_()) {
-    loop_.After(kRetryAfter, [this] { Watch(); });
-    return;
+    loop_.After(kRetryAfter, [this] { Continue(); });
+  } else if (revision_ == 0) {
+    List({});
+  } else {
+    Watch();
   }
-  // Claims have keys of their own and would flood a watch of the whole site.
-  store_.Watch(site_ + ".doc.", after_,
-               [this](const store_reply& reply) { OnWatch(reply); });
 }
 
-void document_sync::OnWatch(const store_reply& reply) {
-  const bool up = reply.outcome == store_outcome::kOk;
+void document_sync::List(const std::string& after) {
+  store_.List(kind_, after,
+              [this](call_outcome outcome, const object_page& page) {
+                if (!Check(outcome)) return;
+                for (const object& each : page.objects) Take(each);
+                if (page.has_more && !page.objects.empty()) {
+                  List(page.objects.back().name);
+                  return;
+                }
+                revision_ = page.revision;
+                loop_.Post([this] { Continue(); });
+              });
+}
+
+void document_sync::Watch() {
+  store_.Watch(kind_, revision_,
+               [this](call_outcome outcome, const object_events& seen) {
+                 if (!Check(outcome)) return;
+                 for (const auto& each : seen.events) {
+                   // Documents last; one that is removed is kept here.
+                   if (!each.deleted) Take(each.changed);
+                 }
+                 revision_ = seen.revision;
+                 loop_.Post([this] { Continue(); });
+               });
+}
+
+bool document_sync::Check(call_outcome outcome) {
+  const bool up =
+      outcome == call_outcome::kOk || outcome == call_outcome::kHistoryGone;
   if (up != store_up_) {
     LogOf("store")->info(up ? "The store answers." : "The store is away.");
   }
   store_up_ = up;
-  if (!up) {
-    // The store may come back with older content, and lower revisions.
-    after_ = 0;
-    loop_.After(kRetryAfter, [this] { Watch(); });
+  if (outcome == call_outcome::kOk) return true;
+  // The store may come back with older content, and lower revisions.
+  revision_ = 0;
+  loop_.After(kRetryAfter, [this] { Continue(); });
+  return false;
+}
+
+void document_sync::Take(const object& stored) {
+  if (std::find(kDocuments.begin(), kDocuments.end(), stored.name) ==
+      kDocuments.end()) {
     return;
   }
-  after_ = reply.revision;
-  for (const auto& object : reply.objects) {
-    for (const char* name : kDocuments) {
-      if (object.key != site_ + ".doc." + name) continue;
-      documents_.Offer({name, ContentVersion(object.content), object.content});
-    }
-  }
-  loop_.Post([this] { Watch(); });
+  const std::string content = stored.Text();
+  documents_.Offer({stored.name, ContentVersion(content), content});
 }
 
 }  // namespace basilhoist
--- a/src/document/document_table.cc
+++ b/src/document/document_table.cc
@@ -46,6 +46,8 @@
   return result;
 }
 
+std::string DocumentKind(const std::string& site) { return site + ".doc"; }
+
 std::uint64_t ContentVersion(const std::string& content) {
   const auto value = nlohmann::json::parse(content, nullptr, false);
   if (!value.is_object() || !value.contains("version")) return 0;
--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -15,6 +15,7 @@
 #include "basilhoist/member/peer_mesh.h"
 #include "basilhoist/ops/log.h"
 #include "basilhoist/rpc/rpc_codec.h"
+#include "basilhoist/store/plain_dialect.h"
 
 namespace basilhoist {
 namespace {
@@ -59,7 +60,9 @@
         log_(LogOf("instance")),
         sharing_(MakeSharing(options_.sharing)),
         http_(loop),
-        store_(http_, Format(options_.store), options_.address),
+        store_(http_, {.address = Format(options_.store),
+                       .dialect = MakePlainDialect(),
+                       .local_address = options_.address}),
         mesh_(
             loop,
             {.self = self_, .cross_domain_delay = options_.cross_domain_delay},
@@ -388,7 +391,7 @@
   std::shared_ptr<spdlog::logger> log_;
   std::unique_ptr<sharing_strategy> sharing_;
   http_client http_;
-  store_client store_;
+  object_store store_;
   document_table documents_;
   peer_mesh mesh_;
   member_task members_;
--- a/src/member/member_task.cc
+++ b/src/member/member_task.cc
@@ -19,6 +19,8 @@
 constexpr microseconds kOrphanTime = milliseconds(3000);
 constexpr std::size_t kWatchers = 2;
 constexpr microseconds kVersionsPeriod = milliseconds(1000);
+// The platform's list of instances, in the store.
+constexpr const char* kInstanceKind = "instances";
 constexpr std::size_t kFrameHeaderBytes = 5;
 
 bool SameMembers(const member_view& a, const member_view& b) {
@@ -27,7 +29,7 @@
 
 }  // namespace
 
-member_task::member_task(event_loop& loop, peer_mesh& mesh, store_client& store,
+member_task::member_task(event_loop& loop, peer_mesh& mesh, object_store& store,
                          document_table& documents, member self,
                          member_options options)
     : loop_(loop),
@@ -238,42 +240,47 @@
   }
   if (now - wanted_since_ < kSettleTime) return;
   proposing_ = true;
-  const std::string key = options_.site + ".doc." + kViewDocument;
-  store_.Get(key, [this, next = *next](const store_reply& reply) {
-    const bool found =
-        reply.outcome == store_outcome::kOk && !reply.objects.empty();
-    if (!found && reply.outcome != store_outcome::kMissing) {
-      proposing_ = false;
-      return;
-    }
-    if (!found) {
-      WriteView(next, 0);
-      return;
-    }
-    const auto& object = reply.objects.front();
-    const document stored{kViewDocument, ContentVersion(object.content),
-                          object.content};
-    // A store that came back with an older view loses to what members hold.
-    if (stored.version < next.epoch && !documents_.Offer(stored)) {
-      WriteView(next, object.revision);
-      return;
-    }
-    documents_.Offer(stored);
+  store_.Get(DocumentKind(options_.site), kViewDocument,
+             [this, next = *next](call_outcome outcome, const object& found) {
+               OnStoredView(next, outcome, found);
+             });
+}
+
+void member_task::OnStoredView(const member_view& next, call_outcome outcome,
+                               const object& found) {
+  if (outcome == call_outcome::kMissing) {
+    WriteView(next, 0);
+    return;
+  }
+  if (outcome != call_outcome::kOk) {
     proposing_ = false;
-  });
+    return;
+  }
+  const std::string text = found.Text();
+  const document stored{kViewDocument, ContentVersion(text), text};
+  // A store that came back with an older view loses to what members hold.
+  if (stored.version < next.epoch && !documents_.Offer(stored)) {
+    WriteView(next, found.revision);
+    return;
+  }
+  documents_.Offer(stored);
+  proposing_ = false;
 }
 
 void member_task::WriteView(const member_view& proposed,
                             std::uint64_t revision) {
   const std::string text = FormatMemberView(proposed);
-  store_.Put(options_.site + ".doc." + kViewDocument, revision, text,
-             [this, epoch = proposed.epoch, text](const store_reply& reply) {
-               proposing_ = false;
-               wanted_.reset();
-               // A write whose answer was lost is found by the next reading.
-               if (reply.outcome != store_outcome::kOk) return;
-               documents_.Offer({kViewDocument, epoch, text});
-             });
+  const auto done = [this, epoch = proposed.epoch, text](call_outcome outcome,
+                                                         const object&) {
+    proposing_ = false;
+    wanted_.reset();
+    // A write whose answer was lost is found by the next reading.
+    if (outcome != call_outcome::kOk) return;
+    documents_.Offer({kViewDocument, epoch, text});
+  };
+  store_.Put(DocumentKind(options_.site),
+             {.name = kViewDocument, .revision = revision, .content = text},
+             done);
 }
 
 // The list tells of instances that have ended. It is read by the watchers, now
@@ -290,23 +297,38 @@
 void member_task::ReadInstances() {
   if (!NeedsList()) return;
   list_read_at_ = Now();
-  store_.ListInstances([this](const instance_list& list) {
-    if (!list.known) return;
-    std::set<std::string> present;
-    for (const auto& each : list.instances) {
-      present.insert(each.name);
-      listed_.insert(each.name);
-      mesh_.Know(ParseEndpoint(each.link_address));
-    }
-    // One that was listed and is no more has ended.
-    const member_view view = ownership_.View();
-    const auto check = [&](const member& each) {
-      if (!listed_.contains(each.name) || present.contains(each.name)) return;
-      ownership_.OnEnded(each, Now());
-    };
-    std::for_each(view.members.begin(), view.members.end(), check);
-    std::for_each(view.previous.begin(), view.previous.end(), check);
-  });
+  ReadInstances({}, std::make_shared<std::set<std::string>>());
+}
+
+void member_task::ReadInstances(
+    const std::string& after,
+    const std::shared_ptr<std::set<std::string>>& present) {
+  store_.List(kInstanceKind, after,
+              [this, present](call_outcome outcome, const object_page& page) {
+                if (outcome != call_outcome::kOk) return;
+                for (const object& each : page.objects) {
+                  present->insert(each.name);
+                  if (!each.content.is_object()) continue;
+                  mesh_.Know(ParseEndpoint(each.content.value("link", "")));
+                }
+                if (page.has_more && !page.objects.empty()) {
+                  ReadInstances(page.objects.back().name, present);
+                } else {
+                  OnInstances(*present);
+                }
+              });
+}
+
+void member_task::OnInstances(const std::set<std::string>& present) {
+  listed_.insert(present.begin(), present.end());
+  // One that was listed and is no more has ended.
+  const member_view view = ownership_.View();
+  const auto check = [&](const member& each) {
+    if (!listed_.contains(each.name) || present.contains(each.name)) return;
+    ownership_.OnEnded(each, Now());
+  };
+  std::for_each(view.members.begin(), view.members.end(), check);
+  std::for_each(view.previous.begin(), view.previous.end(), check);
 }
 
 bool member_task::IsWatcher() const {
--- a/src/once/once_task.cc
+++ b/src/once/once_task.cc
@@ -17,18 +17,24 @@
 // many tries is lost to repeats, which then hear "may have run".
 constexpr int kWriteTries = 20;
 
-std::string KeyOf(const std::string& site, const caller_request& request) {
+std::string NameOf(const caller_request& request) {
   const auto hash =
       XXH3_128bits(request.request_id.data(), request.request_id.size());
-  return site + ".once." + request.group + "." + std::to_string(hash.high64) +
-         "-" + std::to_string(hash.low64);
+  return request.group + "." + std::to_string(hash.high64) + "-" +
+         std::to_string(hash.low64);
+}
+
+// Whether a write needs no repeat: it was made, or cannot be made any more.
+bool IsSettled(call_outcome outcome) {
+  return outcome == call_outcome::kOk || outcome == call_outcome::kConflict ||
+         outcome == call_outcome::kMissing;
 }
 
 }  // namespace
 
 struct once_task::work {
   caller_request request;
-  std::string key;
+  std::string name;      // of the claim in the store
   std::string claim_id;  // tells this arrival's claim from any other's
   std::uint64_t revision = 0;
   instant began;
@@ -36,9 +42,13 @@
   answer_callback done;
 };
 
-once_task::once_task(event_loop& loop, store_client& store, entry_task& entry,
+once_task::once_task(event_loop& loop, object_store& store, entry_task& entry,
                      once_options options)
-    : loop_(loop), store_(store), entry_(entry), options_(std::move(options)) {}
+    : loop_(loop),
+      store_(store),
+      entry_(entry),
+      options_(std::move(options)),
+      kind_(options_.site + ".once") {}
 
 std::string once_task::ClaimText(const work& current,
                                  const std::string& outcome) const {
@@ -53,51 +63,57 @@
                     answer_callback done) {
   auto current = std::make_shared<work>();
   current->request = request;
-  current->key = KeyOf(options_.site, request);
+  current->name = NameOf(request);
   current->claim_id = options_.instance + "/" +
                       std::to_string(options_.incarnation) + "/" +
                       std::to_string(++last_claim_);
   current->began = Now();
   current->format = std::move(format);
   current->done = std::move(done);
-  store_.Put(
-      current->key, 0, ClaimText(*current, ""),
-      [this, current](const store_reply& reply) { OnClaim(current, reply); });
+  store_.Create(kind_,
+                {.name = current->name, .content = ClaimText(*current, "")},
+                [this, current](call_outcome outcome, const object& created) {
+                  OnClaim(current, outcome, created.revision);
+                });
 }
 
-void once_task::OnClaim(const work_ptr& current, const store_reply& reply) {
-  switch (reply.outcome) {
-    case store_outcome::kOk:
-      OnHeld(current, reply.revision);
+void once_task::OnClaim(const work_ptr& current, call_outcome outcome,
+                        std::uint64_t revision) {
+  switch (outcome) {
+    case call_outcome::kOk:
+      OnHeld(current, revision);
       break;
-    case store_outcome::kConflict:
-    case store_outcome::kUnknown:
+    case call_outcome::kConflict:
+    case call_outcome::kUnknown:
       // Someone holds the claim, or the answer was lost and it may be us.
       ReadBack(current);
       break;
-    case store_outcome::kMissing:
-    case store_outcome::kUnavailable:
+    case call_outcome::kMissing:
+    case call_outcome::kHistoryGone:
+    case call_outcome::kNotDone:
       Refuse(current, verdict::kNotRun, reason::kStoreUnavailable);
       break;
   }
 }
 
 void once_task::ReadBack(const work_ptr& current) {
-  store_.Get(current->key, [this, current](const store_reply& reply) {
-    if (reply.outcome != store_outcome::kOk || reply.objects.empty()) {
+  const auto done = [this, current](call_outcome outcome, const object& found) {
+    if (outcome != call_outcome::kOk) {
       // No claim is known to be ours, so nothing is sent. A write of ours
       // that takes effect yet only bars repeats.
       Refuse(current, verdict::kNotRun, reason::kStoreUnavailable);
       return;
     }
-    const auto& object = reply.objects.front();
-    const json content = json::parse(object.content, nullptr, false);
-    if (content.value("claim", "") == current->claim_id) {
-      OnHeld(current, object.revision);
+    const std::string text = found.Text();
+    const json content = json::parse(text, nullptr, false);
+    if (content.is_object() &&
+        content.value("claim", "") == current->claim_id) {
+      OnHeld(current, found.revision);
     } else {
-      OnRepeat(current, object.content);
+      OnRepeat(current, text);
     }
-  });
+  };
+  store_.Get(kind_, current->name, done);
 }
 
 void once_task::OnHeld(const work_ptr& current, std::uint64_t revision) {
@@ -130,37 +146,37 @@
 void once_task::Record(const work_ptr& current, const std::string& text,
                        int tries) {
   if (tries == 0) return;
-  store_.Put(current->key, current->revision, ClaimText(*current, text),
-             [this, current, text, tries](const store_reply& reply) {
-               const bool settled = reply.outcome == store_outcome::kOk ||
-                                    reply.outcome == store_outcome::kConflict ||
-                                    reply.outcome == store_outcome::kMissing;
-               counters_.recorded += settled ? 1 : 0;
-               if (settled) return;
-               loop_.After(kWriteRetryAfter, [this, current, text, tries] {
-                 Record(current, text, tries - 1);
-               });
-             });
+  const auto done = [this, current, text, tries](call_outcome outcome,
+                                                 const object&) {
+    const bool settled = IsSettled(outcome);
+    counters_.recorded += settled ? 1 : 0;
+    if (settled) return;
+    loop_.After(kWriteRetryAfter, [this, current, text, tries] {
+      Record(current, text, tries - 1);
+    });
+  };
+  store_.Replace(kind_,
+                 {.name = current->name,
+                  .revision = current->revision,
+                  .content = ClaimText(*current, text)},
+                 done);
 }
 
 void once_task::GiveUpClaim(const work_ptr& current, int tries) {
   if (tries == 0) return;
-  store_.Remove(current->key, current->revision,
-                [this, current, tries](const store_reply& reply) {
-                  if (reply.outcome != store_outcome::kUnavailable &&
-                      reply.outcome != store_outcome::kUnknown) {
-                    return;
-                  }
-                  loop_.After(kWriteRetryAfter, [this, current, tries] {
-                    GiveUpClaim(current, tries - 1);
-                  });
-                });
+  const auto done = [this, current, tries](call_outcome outcome,
+                                           const object&) {
+    if (IsSettled(outcome)) return;
+    loop_.After(kWriteRetryAfter,
+                [this, current, tries] { GiveUpClaim(current, tries - 1); });
+  };
+  store_.Remove(kind_, current->name, current->revision, done);
 }
 
 void once_task::OnRepeat(const work_ptr& current, const std::string& content) {
   ++counters_.repeated;
   const json claim = json::parse(content, nullptr, false);
-  if (!claim.contains("outcome")) {
+  if (!claim.is_object() || !claim.contains("outcome")) {
     Refuse(current, verdict::kMayHaveRun, reason::kRepeated);
     return;
   }
--- a/src/store/object_store.cc
+++ b/src/store/object_store.cc
@@ -80,6 +80,7 @@
     answer<Value> done) {
   ++calls_;
   call.url = "http://" + options_.address + call.url;
+  call.local_address = options_.local_address;
   if (!call.body.empty()) {
     call.headers.emplace_back("Content-Type: application/json");
   }
@@ -114,6 +115,13 @@
               &object_dialect::DecodeEvents, std::move(done));
 }
 
+void object_store::Get(const std::string& kind, const std::string& name,
+                       answer<object> done) {
+  Call({.url = options_.dialect->ObjectTarget(kind, name),
+        .timeout = options_.call_timeout},
+       &object_dialect::DecodeObject, std::move(done));
+}
+
 void object_store::Create(const std::string& kind, const object& value,
                           answer<object> done) {
   Call({.method = "POST",
@@ -132,4 +140,21 @@
        &object_dialect::DecodeObject, std::move(done));
 }
 
+void object_store::Put(const std::string& kind, const object& value,
+                       answer<object> done) {
+  if (value.revision == 0) {
+    Create(kind, value, std::move(done));
+  } else {
+    Replace(kind, value, std::move(done));
+  }
+}
+
+void object_store::Remove(const std::string& kind, const std::string& name,
+                          std::uint64_t revision, answer<object> done) {
+  Call({.method = "DELETE",
+        .url = options_.dialect->RemoveTarget(kind, name, revision),
+        .timeout = options_.call_timeout},
+       &object_dialect::DecodeObject, std::move(done));
+}
+
 }  // namespace basilhoist
--- /dev/null
+++ b/src/store/plain_dialect.cc
@@ -0,0 +1,107 @@
+#include "basilhoist/store/plain_dialect.h"
+
+namespace basilhoist {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kObjects = "/v1/objects/";
+constexpr const char* kWatch = "/v1/watch/";
+
+class plain_dialect : public object_dialect {
+ public:
+  std::string ListTarget(std::string_view kind,
+                         std::string_view after) const override {
+    std::string target = KindTarget(kind);
+    if (!after.empty()) target += "?after=" + std::string(after);
+    return target;
+  }
+
+  std::string WatchTarget(std::string_view kind, std::uint64_t revision,
+                          milliseconds wait) const override {
+    return kWatch + std::string(kind) + "?after=" + std::to_string(revision) +
+           "&wait_ms=" + std::to_string(wait.count());
+  }
+
+  std::string ObjectTarget(std::string_view kind,
+                           std::string_view name) const override {
+    return KindTarget(kind) + "/" + std::string(name);
+  }
+
+  std::string KindTarget(std::string_view kind) const override {
+    return kObjects + std::string(kind);
+  }
+
+  std::string RemoveTarget(std::string_view kind, std::string_view name,
+                           std::uint64_t revision) const override {
+    return ObjectTarget(kind, name) + "?revision=" + std::to_string(revision);
+  }
+
+  std::string EncodeObject(const object& value) const override {
+    return PlainObject(value).dump();
+  }
+
+  std::optional<object_page> DecodePage(std::string_view body) const override {
+    return ReadStoreBody<object_page>(body, [](const json& value) {
+      object_page page{.has_more = value.value("has_more", false),
+                       .revision = value.at("revision")};
+      for (const json& each : value.at("objects")) {
+        page.objects.push_back(ReadPlainObject(each));
+      }
+      return page;
+    });
+  }
+
+  std::optional<object_events> DecodeEvents(
+      std::string_view body) const override {
+    return ReadStoreBody<object_events>(body, [](const json& value) {
+      object_events events{.revision = value.at("revision")};
+      for (const json& each : value.at("events")) {
+        events.events.push_back({.changed = ReadPlainObject(each.at("object")),
+                                 .deleted = each.value("deleted", false)});
+      }
+      return events;
+    });
+  }
+
+  std::optional<object> DecodeObject(std::string_view body) const override {
+    return ReadStoreBody<object>(body, ReadPlainObject);
+  }
+};
+
+}  // namespace
+
+std::shared_ptr<const object_dialect> MakePlainDialect() {
+  return std::make_shared<plain_dialect>();
+}
+
+json PlainObject(const object& value) {
+  return {{"name", value.name},
+          {"revision", value.revision},
+          {"content", value.content}};
+}
+
+json PlainPage(const object_page& value) {
+  json objects = json::array();
+  for (const object& each : value.objects) objects.push_back(PlainObject(each));
+  return {{"objects", std::move(objects)},
+          {"has_more", value.has_more},
+          {"revision", value.revision}};
+}
+
+json PlainEvents(const object_events& value) {
+  json events = json::array();
+  for (const object_event& each : value.events) {
+    events.push_back(
+        {{"object", PlainObject(each.changed)}, {"deleted", each.deleted}});
+  }
+  return {{"events", std::move(events)}, {"revision", value.revision}};
+}
+
+object ReadPlainObject(const json& value) {
+  return {.name = value.at("name"),
+          .revision = value.value("revision", std::uint64_t{0}),
+          .content = value.value("content", json())};
+}
+
+}  // namespace basilhoist
--- a/standins/platform_store.cc
+++ b/standins/platform_store.cc
@@ -2,47 +2,49 @@
 
 namespace basilhoist::standin {
 
-stored_object platform_store::Get(const std::string& key) const {
-  const auto found = objects_.find(key);
-  return found == objects_.end() ? stored_object{.key = key} : found->second;
+object platform_store::Get(const std::string& kind,
+                           const std::string& name) const {
+  const auto objects = kinds_.find(kind);
+  if (objects == kinds_.end()) return {.name = name};
+  const auto found = objects->second.find(name);
+  return found == objects->second.end() ? object{.name = name} : found->second;
 }
 
-store_reply platform_store::Put(const std::string& key,
-                                std::uint64_t if_revision,
-                                const std::string& content) {
-  if (Get(key).revision != if_revision) {
-    return {.outcome = store_outcome::kConflict};
+write_result platform_store::Put(const std::string& kind, const object& value) {
+  const object present = Get(kind, value.name);
+  if (present.revision != value.revision) {
+    return {.outcome = call_outcome::kConflict, .value = present};
   }
-  objects_[key] = {key, ++revision_, content};
-  return {.outcome = store_outcome::kOk, .revision = revision_};
+  object& written = kinds_[kind][value.name];
+  written = value;
+  written.revision = ++revision_;
+  return {.outcome = call_outcome::kOk, .value = written};
 }
 
-store_reply platform_store::Remove(const std::string& key,
-                                   std::uint64_t if_revision) {
-  const std::uint64_t present = Get(key).revision;
-  if (present == 0) return {.outcome = store_outcome::kMissing};
-  if (present != if_revision) return {.outcome = store_outcome::kConflict};
-  objects_.erase(key);
-  return {.outcome = store_outcome::kOk, .revision = ++revision_};
-}
-
-std::vector<stored_object> platform_store::ChangedSince(
-    const std::string& prefix, std::uint64_t after) const {
-  std::vector<stored_object> changed;
-  for (auto it = objects_.lower_bound(prefix);
-       it != objects_.end() && it->first.starts_with(prefix); ++it) {
-    if (it->second.revision > after) changed.push_back(it->second);
+write_result platform_store::Remove(const std::string& kind,
+                                    const std::string& name,
+                                    std::uint64_t revision) {
+  const object present = Get(kind, name);
+  if (present.revision == 0) {
+    return {.outcome = call_outcome::kMissing, .value = present};
   }
-  return changed;
+  if (present.revision != revision) {
+    return {.outcome = call_outcome::kConflict, .value = present};
+  }
+  kinds_[kind].erase(name);
+  ++revision_;
+  return {.outcome = call_outcome::kOk, .value = present};
 }
 
-std::size_t platform_store::Count(const std::string& prefix) const {
-  std::size_t count = 0;
-  for (auto it = objects_.lower_bound(prefix);
-       it != objects_.end() && it->first.starts_with(prefix); ++it) {
-    ++count;
+std::vector<object> platform_store::ChangedSince(const std::string& kind,
+                                                 std::uint64_t after) const {
+  std::vector<object> changed;
+  const auto objects = kinds_.find(kind);
+  if (objects == kinds_.end()) return changed;
+  for (const auto& [name, each] : objects->second) {
+    if (each.revision > after) changed.push_back(each);
   }
-  return count;
+  return changed;
 }
 
 }  // namespace basilhoist::standin
--- a/standins/platform_store.h
+++ b/standins/platform_store.h
@@ -6,37 +6,46 @@
 #include <string>
 #include <vector>
 
-#include "basilhoist/document/store_client.h"
+#include "basilhoist/store/object_store.h"
 
 namespace basilhoist::standin {
 
+/// How a write ended.
+struct write_result {
+  call_outcome outcome = call_outcome::kOk;
+  object value;
+};
+
 /// Objects with revisions and conditional updates, and saved copies of all.
 class platform_store {
  public:
   /// @return the object, or revision 0
-  [[nodiscard]] stored_object Get(const std::string& key) const;
+  [[nodiscard]] object Get(const std::string& kind,
+                           const std::string& name) const;
 
-  /// @return kOk with the new revision, or kConflict
-  store_reply Put(const std::string& key, std::uint64_t if_revision,
-                  const std::string& content);
+  /// Writes an object that has the revision given; 0: that does not exist.
+  /// @return kOk, or kConflict; and the object as it is then
+  write_result Put(const std::string& kind, const object& value);
 
-  /// @return kOk, kMissing or kConflict
-  store_reply Remove(const std::string& key, std::uint64_t if_revision);
+  /// @return kOk, kMissing or kConflict; and the object as it was
+  write_result Remove(const std::string& kind, const std::string& name,
+                      std::uint64_t revision);
 
-  /// @return objects under a prefix that changed after a revision
-  [[nodiscard]] std::vector<stored_object> ChangedSince(
-      const std::string& prefix, std::uint64_t after) const;
+  /// @return objects of a kind that changed after a revision
+  [[nodiscard]] std::vector<object> ChangedSince(const std::string& kind,
+                                                 std::uint64_t after) const;
 
   /// Keeps a copy of all objects, or brings one back, revisions included.
-  void Save() { saved_ = objects_; }
-  void Restore() { objects_ = saved_; }
+  void Save() { saved_ = kinds_; }
+  void Restore() { kinds_ = saved_; }
 
   [[nodiscard]] std::uint64_t Revision() const { return revision_; }
-  [[nodiscard]] std::size_t Count(const std::string& prefix) const;
 
  private:
-  std::map<std::string, stored_object> objects_;
-  std::map<std::string, stored_object> saved_;
+  using objects_by_name = std::map<std::string, object>;
+
+  std::map<std::string, objects_by_name> kinds_;
+  std::map<std::string, objects_by_name> saved_;
   std::uint64_t revision_ = 0;
 };
 
--- a/tests/fleet_test.py
+++ b/tests/fleet_test.py
@@ -34,6 +34,16 @@
         self.addCleanup(second.stop)
         self.assertEqual(store, second.store)
 
+    def test_processes_that_outlive_a_killed_run_keep_its_addresses(self):
+        first = self.make()
+        self.addCleanup(first.stop)
+        first.start()
+        # What the end of the script leaves: its own socket is gone.
+        first.claim.close()
+        second = self.make()
+        self.addCleanup(second.stop)
+        self.assertNotEqual(first.store, second.store)
+
     def test_a_process_that_ends_by_itself_fails_the_run(self):
         site = self.make()
         site.start()
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -7,6 +7,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "free_port.h"
+
 namespace basilhoist {
 namespace {
 
@@ -48,25 +50,13 @@
 struct fixture {
   event_loop loop;
   std::vector<std::shared_ptr<http_exchange>> taken;
-  std::uint16_t port = FreePort();
+  std::uint16_t port = basilhoist::test::FreePort();
   http_server server{loop,
                      {.address = "127.0.0.1", .port = port},
                      [this](const std::shared_ptr<http_exchange>& exchange) {
                        taken.push_back(exchange);
                      }};
 
-  static std::uint16_t FreePort() {
-    const int fd = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in where{};
-    where.sin_family = AF_INET;
-    where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof where;
-    static_cast<void>(bind(fd, reinterpret_cast<sockaddr*>(&where), size));
-    getsockname(fd, reinterpret_cast<sockaddr*>(&where), &size);
-    close(fd);
-    return ntohs(where.sin_port);
-  }
-
   void RunFor(int ms) {
     loop.After(milliseconds(ms), [this] { loop.Stop(); });
     loop.Run();
--- a/tests/operators_test.py
+++ b/tests/operators_test.py
@@ -69,9 +69,8 @@
         self.assertEqual(0, self.site.apply()[0])
         for thread in threads:
             thread.join()
-        url = f"http://{self.site.store}/v1/objects/quetzal.doc.drains"
-        content = json.loads(
-            fleet.http("GET", url)[1]["objects"][0]["content"])
+        url = f"http://{self.site.store}/v1/objects/quetzal.doc/drains"
+        content = json.loads(fleet.http("GET", url)[1]["content"])
         self.assertEqual(set(domains),
                          {each["name"] for each in content["drains"]})
         for name in domains:
