Callers that send headers too slowly, or leave behind a next request

Peers were kept inside the datagram code and had no model test. Change: http_server closes connections whose next request is overdue by idle plus header timeout; a caller with bytes waiting is looked at every 200 ms. Tests: HeadersThatComeTooSlowlyEndTheirConnection and ACallerThatClosesBehindANextRequestIsNoticed fail with the two changes taken out; peer_table_test feeds lost, doubled, late and reordered datagrams with ends, joins and restarts (2 properties, 100 cases each).

--- a/include/basilhoist/http/http_server.h
+++ b/include/basilhoist/http/http_server.h
@@ -6,62 +6,18 @@
 #include <memory>
 #include <string>
 #include <string_view>
-#include <vector>
 
+#include "basilhoist/http/http_exchange.h"
 #include "basilhoist/loop/event_loop.h"
 
 namespace basilhoist {
 
-/// One header of a request or reply.
-struct http_header {
-  std::string name;
-  std::string value;
+/// How long a caller may take or stay idle.
+struct caller_timeouts {
+  milliseconds header{10000};  ///< From a request's first byte to its body.
+  milliseconds idle{60000};    ///< Between two requests.
 };
 
-/// A reply to one request.
-struct http_reply {
-  int status = 200;
-  std::string content_type = "application/json";  ///< Empty sends none.
-  std::string body;
-  std::vector<http_header> headers;
-};
-
-/// One request, which is replied to once, at once or later.
-class http_exchange {
- public:
-  virtual ~http_exchange() = default;
-
-  [[nodiscard]] virtual const std::string& Method() const = 0;
-  /// @return the path, percent-decoded and without the query
-  [[nodiscard]] virtual const std::string& Path() const = 0;
-  /// @return path and query as they came, byte for byte
-  [[nodiscard]] virtual const std::string& Target() const = 0;
-  [[nodiscard]] virtual const std::string& Body() const = 0;
-
-  /// @return the header's value, or empty
-  [[nodiscard]] virtual std::string Header(const char* name) const = 0;
-
-  /// @return all headers in the order in which they came
-  [[nodiscard]] virtual std::vector<http_header> Headers() const = 0;
-
-  /// @return the query argument's value, or empty
-  [[nodiscard]] virtual std::string Argument(const char* name) const = 0;
-
-  /// @return the caller's IP number
-  [[nodiscard]] virtual std::string PeerAddress() const = 0;
-
-  /// @return whether this is the first request on its connection
-  [[nodiscard]] virtual bool FirstOnConnection() const = 0;
-
-  /// Calls a function once if the caller closes before the reply was sent.
-  virtual void OnGone(std::function<void()> gone) = 0;
-
-  /// Sends the reply; a second reply to one request is dropped.
-  virtual void Reply(http_reply reply) = 0;
-};
-
-using http_handler = std::function<void(std::shared_ptr<http_exchange>)>;
-
 /// Settings of one listening socket.
 struct http_server_options {
   std::string address = "127.0.0.1";
@@ -69,6 +25,7 @@
   unsigned max_connections = 1000;
   std::size_t max_body_bytes = 1U << 20U;
   milliseconds body_timeout{5000};
+  caller_timeouts timeouts;
   /// Makes the reply for a fault found before the handler runs.
   std::function<http_reply(int status, std::string_view text)> refuse;
 };
@@ -95,8 +52,8 @@
   /// Closes the listening socket and every connection.
   void Shut();
 
-  /// Sets how long a connection may stay idle, from its next request on.
-  void SetIdleTimeout(milliseconds idle);
+  /// Sets how long callers may take, for open connections as well.
+  void SetTimeouts(const caller_timeouts& timeouts);
 
   /// @return connections open now
   [[nodiscard]] unsigned Connections() const;
--- a/include/basilhoist/knowledge/peer_exchange.h
+++ b/include/basilhoist/knowledge/peer_exchange.h
@@ -2,14 +2,11 @@
 #pragma once
 
 #include <functional>
-#include <map>
 #include <pcg_random.hpp>
-#include <set>
-#include <string>
-#include <vector>
+#include <string_view>
 
+#include "basilhoist/knowledge/peer_table.h"
 #include "basilhoist/link/datagram_socket.h"
-#include "basilhoist/link/messages.h"
 
 namespace basilhoist {
 
@@ -27,11 +24,6 @@
 /// Sends this instance's state to peers and takes theirs.
 class peer_exchange {
  public:
-  /// A peer that was not heard for so long no longer counts.
-  static constexpr milliseconds kForgetAfter{30000};
-  /// Heard lately enough to be relied on until shown otherwise.
-  static constexpr milliseconds kHeardWithin{6000};
-
   struct handlers {
     /// Fills in what this instance tells; addresses of peers are added.
     std::function<void(peer_state&)> fill;
@@ -50,35 +42,17 @@
   /// Tells all peers at once, since something has changed.
   void TellAll();
 
-  /// @return what peers told last, of those that were heard lately
-  [[nodiscard]] std::vector<peer_state> Heard() const;
-
-  /// @return instances to share limits with, this one included: those heard
-  ///   lately and those known of but not heard yet
-  [[nodiscard]] std::size_t InstanceCount() const;
-
-  /// Orders instances by rendezvous hashing, the same on all of them as far
-  /// as they know of each other.
-  /// @return how many known instances come before this one for a key
-  [[nodiscard]] std::size_t RankFor(std::uint64_t key) const;
+  [[nodiscard]] const peer_table& Peers() const { return peers_; }
 
  private:
-  struct peer {
-    instant known_since;
-    instant heard_at;
-    bool heard = false;
-    peer_state state;
-  };
-
   void Round();
   void Tell(std::size_t most);
   void OnDatagram(std::string_view bytes);
-  void Forget(instant now);
 
   event_loop& loop_;
   peer_exchange_options options_;
   handlers on_;
-  std::map<endpoint, peer> peers_;
+  peer_table peers_;
   pcg32 random_;
   datagram_socket socket_;
 };
--- /dev/null
+++ b/include/basilhoist/knowledge/peer_table.h
@@ -0,0 +1,73 @@
+// Instances that this one knows of, apart from how it hears of them.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "basilhoist/base/clock.h"
+#include "basilhoist/base/endpoint.h"
+#include "basilhoist/link/messages.h"
+
+namespace basilhoist {
+
+/// Remembers peers by their address until nobody hears them any more. What
+/// depends on the count of instances is bounded by it, so that it counts a
+/// peer that may be there.
+class peer_table {
+ public:
+  /// A peer that was not heard for so long no longer counts.
+  static constexpr milliseconds kForgetAfter{30000};
+  /// Heard lately enough to be relied on until shown otherwise.
+  static constexpr milliseconds kHeardWithin{6000};
+
+  /// How a state was taken.
+  enum class taken : std::uint8_t {
+    kFirst,    ///< The peer had not been heard before.
+    kAgain,    ///< It had.
+    kIgnored,  ///< It is this instance's own, or of no address.
+  };
+
+  explicit peer_table(endpoint self) : self_(std::move(self)) {}
+
+  /// Adds an address where a peer may be.
+  void Know(const endpoint& where, instant now);
+
+  /// Takes what a peer tells of itself and of others.
+  taken Take(const peer_state& state, instant now);
+
+  /// Drops peers that were not heard for long.
+  /// @return their addresses
+  std::vector<endpoint> Forget(instant now);
+
+  /// @return all addresses known
+  [[nodiscard]] std::vector<endpoint> Addresses() const;
+
+  /// @return addresses of peers that were heard
+  [[nodiscard]] std::vector<endpoint> Heard() const;
+
+  /// @return what peers told last, of those that were heard lately
+  [[nodiscard]] std::vector<peer_state> HeardLately(instant now) const;
+
+  /// @return instances to share limits with, this one included: those heard
+  ///   lately and those known of but not heard yet
+  [[nodiscard]] std::size_t InstanceCount() const { return peers_.size() + 1; }
+
+  /// Orders instances by rendezvous hashing, the same on all of them as far
+  /// as they know of each other.
+  /// @return how many known instances come before this one for a key
+  [[nodiscard]] std::size_t RankFor(std::uint64_t key) const;
+
+ private:
+  struct peer {
+    instant known_since;
+    instant heard_at;
+    bool heard = false;
+    peer_state state;
+  };
+
+  endpoint self_;
+  std::map<endpoint, peer> peers_;
+};
+
+}  // namespace basilhoist
--- a/include/basilhoist/link/frame_link.h
+++ b/include/basilhoist/link/frame_link.h
@@ -7,25 +7,12 @@
 #include <string>
 #include <string_view>
 
+#include "basilhoist/base/endpoint.h"
 #include "basilhoist/link/messages.h"
 #include "basilhoist/loop/event_loop.h"
 
 namespace basilhoist {
 
-/// An IP number and port.
-struct endpoint {
-  std::string address;
-  std::uint16_t port = 0;
-
-  auto operator<=>(const endpoint&) const = default;
-};
-
-/// @return "address:port"
-std::string Format(const endpoint& value);
-
-/// @return the endpoint, or port 0 if the text is not "IP:port"
-endpoint ParseEndpoint(std::string_view text);
-
 /// One connected socket that carries frames both ways.
 class frame_link : public std::enable_shared_from_this<frame_link> {
  public:
--- a/include/basilhoist/router/knowledge.h
+++ b/include/basilhoist/router/knowledge.h
@@ -48,7 +48,7 @@
   [[nodiscard]] const std::vector<std::unique_ptr<object_feed>>& Feeds() const {
     return feeds_;
   }
-  [[nodiscard]] const peer_exchange& Peers() const { return peers_; }
+  [[nodiscard]] const peer_table& Peers() const { return peers_.Peers(); }
   [[nodiscard]] std::uint64_t StoreCalls() const { return store_.Calls(); }
 
  private:
--- a/src/link/frame_link.cc
+++ b/src/link/frame_link.cc
@@ -8,7 +8,6 @@
 
 #include <array>
 #include <cerrno>
-#include <charconv>
 #include <cstring>
 #include <utility>
 
@@ -43,23 +42,6 @@
 
 }  // namespace
 
-std::string Format(const endpoint& value) {
-  return value.address + ":" + std::to_string(value.port);
-}
-
-endpoint ParseEndpoint(std::string_view text) {
-  const auto colon = text.rfind(':');
-  if (colon == std::string_view::npos) return {};
-  endpoint result{std::string(text.substr(0, colon)), 0};
-  const std::string_view digits = text.substr(colon + 1);
-  const char* end = digits.data() + digits.size();
-  const auto parsed = std::from_chars(digits.data(), end, result.port);
-  in_addr unused{};
-  const bool valid = inet_pton(AF_INET, result.address.c_str(), &unused) == 1 &&
-                     parsed.ec == std::errc() && parsed.ptr == end;
-  return valid ? result : endpoint{};
-}
-
 struct frame_link::state {
   event_loop& loop;
   int fd;
--- a/src/router/knowledge.cc
+++ b/src/router/knowledge.cc
@@ -190,7 +190,7 @@
 
 void knowledge::OnPeer(const peer_state& state) {
   if (!state.suspects.empty()) on_.on_suspects(state.suspects);
-  on_.on_peers(peers_.Heard());
+  on_.on_peers(peers_.Peers().HeardLately(Now()));
   for (const held_snapshot& each : state.held) {
     Compare(each, state.fetch_address);
   }
@@ -265,7 +265,7 @@
 }
 
 void knowledge::CountInstances() {
-  const std::size_t count = peers_.InstanceCount();
+  const std::size_t count = peers_.Peers().InstanceCount();
   if (count == instances_) return;
   instances_ = count;
   on_.on_instances(count);
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -127,7 +127,9 @@
 
   void OnTable(const routing_table_ptr& table) {
     shared.table = table;
-    callers.SetIdleTimeout(table->Limits().idle_timeout);
+    const caller_limits& limits = table->Limits();
+    callers.SetTimeouts(
+        {.header = limits.header_timeout, .idle = limits.idle_timeout});
   }
 
   void OnPeers(const std::vector<peer_state>& heard) {
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -131,6 +131,40 @@
   BOOST_TEST(one.Receive().find("Connection: close") != std::string::npos);
 }
 
+BOOST_FIXTURE_TEST_CASE(ACallerThatClosesBehindANextRequestIsNoticed, fixture) {
+  caller one(port);
+  one.Send(kRequest);
+  RunFor(30);
+  int gone = 0;
+  taken.at(0)->OnGone([&gone] { ++gone; });
+  one.Send(kRequest);
+  RunFor(30);
+  one.Close();
+  RunFor(500);
+  BOOST_TEST(gone == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(HeadersThatComeTooSlowlyEndTheirConnection, fixture) {
+  server.SetTimeouts({.header = milliseconds(300), .idle = milliseconds(200)});
+  const caller slow(port);
+  for (const char byte : kRequest.substr(0, 24)) {
+    slow.Send({byte});
+    RunFor(100);
+  }
+  BOOST_TEST(server.Connections() == 0U);
+  BOOST_TEST(taken.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(ARequestThatIsHandledIsNotOverdue, fixture) {
+  server.SetTimeouts({.header = milliseconds(300), .idle = milliseconds(200)});
+  const caller one(port);
+  one.Send(kRequest);
+  RunFor(2000);
+  taken.at(0)->Reply({.body = "x"});
+  RunFor(30);
+  BOOST_TEST(one.Receive().ends_with("x"));
+}
+
 // Quetzal's hunt-8054-3: a router that stopped asked for this every 20 ms, and
 // each time closed whatever had the listening socket's number by then.
 BOOST_FIXTURE_TEST_CASE(QuiescingTwiceClosesNothingElse, fixture) {
--- /dev/null
+++ b/tests/peer_table_test.cc
@@ -0,0 +1,212 @@
+// What instances know of each other while datagrams are lost, doubled, late
+// and out of order, and instances end, join and restart.
+#include "basilhoist/knowledge/peer_table.h"
+
+#include <rapidcheck/boost_test.h>
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <optional>
+#include <random>
+#include <set>
+
+namespace basilhoist {
+namespace {
+
+const instant kStart{std::chrono::seconds(1000)};
+constexpr microseconds kRound = milliseconds(500);
+constexpr std::size_t kFanout = 3;
+constexpr std::size_t kMostInstances = 12;
+
+endpoint AddressOf(std::size_t number) {
+  return {.address = "10.0.0." + std::to_string(number + 1), .port = 7000};
+}
+
+struct datagram {
+  std::size_t to = 0;
+  peer_state state;
+  instant due;
+};
+
+// Instances with their tables, and the network between them.
+class group {
+ public:
+  group(std::size_t size, unsigned seed) : random_(seed) {
+    for (std::size_t i = 0; i < size; ++i) Start(i);
+  }
+
+  void Start(std::size_t number) {
+    auto& table = tables_[number];
+    table.emplace(AddressOf(number));
+    heard_at_[number].clear();
+    // What the store lists: everybody who ever ran.
+    listed_.insert(number);
+    for (const std::size_t each : listed_) table->Know(AddressOf(each), now_);
+  }
+
+  void End(std::size_t number) { tables_[number].reset(); }
+
+  void Disturb(unsigned lost_percent, milliseconds most_delay) {
+    lost_percent_ = lost_percent;
+    most_delay_ = most_delay;
+  }
+
+  void Round() {
+    now_ = now_ + kRound;
+    for (std::size_t i = 0; i < kMostInstances; ++i) {
+      if (tables_[i]) Tell(i);
+    }
+    Deliver();
+  }
+
+  std::set<std::size_t> Running() const {
+    std::set<std::size_t> running;
+    for (std::size_t i = 0; i < kMostInstances; ++i) {
+      if (tables_[i]) running.insert(i);
+    }
+    return running;
+  }
+
+  const peer_table& TableOf(std::size_t number) const {
+    return *tables_[number];
+  }
+
+  // Others that an instance took a datagram of within the time given.
+  std::size_t HeardWithin(std::size_t number, microseconds span) const {
+    return static_cast<std::size_t>(std::count_if(
+        heard_at_[number].begin(), heard_at_[number].end(),
+        [&](const auto& entry) { return now_ - entry.second < span; }));
+  }
+
+  instant Time() const { return now_; }
+
+ private:
+  void Tell(std::size_t number) {
+    peer_table& table = *tables_[number];
+    table.Forget(now_);
+    peer_state state{.address = Format(AddressOf(number))};
+    for (const endpoint& each : table.Heard()) {
+      state.peers.push_back(Format(each));
+    }
+    std::vector<endpoint> targets = table.Addresses();
+    std::shuffle(targets.begin(), targets.end(), random_);
+    targets.resize(std::min(targets.size(), kFanout));
+    for (const endpoint& each : targets) {
+      if (random_() % 100 < lost_percent_) continue;
+      const std::size_t copies = random_() % 8 == 0 ? 2 : 1;
+      for (std::size_t i = 0; i < copies; ++i) Send(each, state);
+    }
+  }
+
+  void Send(const endpoint& to, const peer_state& state) {
+    for (std::size_t i = 0; i < kMostInstances; ++i) {
+      if (AddressOf(i) != to) continue;
+      const auto delay = milliseconds(
+          random_() % static_cast<std::uint64_t>(most_delay_.count() + 1));
+      under_way_.push_back({i, state, now_ + delay});
+    }
+  }
+
+  void Deliver() {
+    std::shuffle(under_way_.begin(), under_way_.end(), random_);
+    std::erase_if(under_way_, [this](const datagram& each) {
+      if (each.due > now_) return false;
+      auto& table = tables_[each.to];
+      if (!table) return true;
+      table->Take(each.state, now_);
+      heard_at_[each.to][each.state.address] = now_;
+      return true;
+    });
+  }
+
+  std::mt19937 random_;
+  instant now_ = kStart;
+  std::array<std::optional<peer_table>, kMostInstances> tables_;
+  std::array<std::map<std::string, instant>, kMostInstances> heard_at_;
+  std::set<std::size_t> listed_;
+  std::deque<datagram> under_way_;
+  unsigned lost_percent_ = 0;
+  milliseconds most_delay_{0};
+};
+
+void RunRounds(group& all, std::size_t rounds) {
+  for (std::size_t i = 0; i < rounds; ++i) {
+    all.Round();
+    // Bounds that are shared out by the count must not be shared among fewer.
+    for (const std::size_t each : all.Running()) {
+      RC_ASSERT(all.TableOf(each).InstanceCount() >=
+                1 + all.HeardWithin(each, peer_table::kForgetAfter));
+    }
+  }
+}
+
+void Disturb(group& all) {
+  all.Disturb(*rc::gen::inRange(0U, 70U),
+              milliseconds(*rc::gen::inRange(0, 3000)));
+  const auto changes = *rc::gen::container<std::vector<std::size_t>>(
+      rc::gen::inRange(std::size_t{0}, kMostInstances));
+  for (const std::size_t number : changes) {
+    const bool running = all.Running().contains(number);
+    if (running && all.Running().size() > 1 && *rc::gen::arbitrary<bool>()) {
+      all.End(number);
+    } else {
+      all.Start(number);  // Joins, or restarts without what it knew.
+    }
+    RunRounds(all, *rc::gen::inRange(std::size_t{1}, std::size_t{20}));
+  }
+}
+
+}  // namespace
+
+RC_BOOST_PROP(EveryoneKnowsEveryoneOnceTheNetworkIsCalm, ()) {
+  group all(*rc::gen::inRange(std::size_t{2}, kMostInstances),
+            *rc::gen::arbitrary<unsigned>());
+  Disturb(all);
+  all.Disturb(0, milliseconds(0));
+  // Who has ended is told on for as long as someone remembers him.
+  const auto settle = 2 * peer_table::kForgetAfter + milliseconds(5000);
+  RunRounds(all, static_cast<std::size_t>(settle / kRound));
+  const auto running = all.Running();
+  std::set<std::size_t> ranks;
+  for (const std::size_t each : running) {
+    const peer_table& table = all.TableOf(each);
+    RC_ASSERT(table.InstanceCount() == running.size());
+    RC_ASSERT(table.Heard().size() == running.size() - 1);
+    ranks.insert(table.RankFor(42));
+  }
+  // Each instance has a place of its own in the order.
+  RC_ASSERT(ranks.size() == running.size());
+  RC_ASSERT(*ranks.rbegin() == running.size() - 1);
+}
+
+RC_BOOST_PROP(OnlyWhoWasHeardLatelyIsReliedOn, ()) {
+  group all(*rc::gen::inRange(std::size_t{2}, kMostInstances),
+            *rc::gen::arbitrary<unsigned>());
+  Disturb(all);
+  for (const std::size_t each : all.Running()) {
+    const auto lately = all.TableOf(each).HeardLately(all.Time());
+    RC_ASSERT(lately.size() == all.HeardWithin(each, peer_table::kHeardWithin));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnInstanceIsNoPeerOfItself) {
+  peer_table table(AddressOf(0));
+  table.Know(AddressOf(0), kStart);
+  table.Know({}, kStart);
+  const peer_state own{.address = Format(AddressOf(0))};
+  BOOST_TEST((table.Take(own, kStart) == peer_table::taken::kIgnored));
+  BOOST_TEST((table.Take({}, kStart) == peer_table::taken::kIgnored));
+  BOOST_TEST(table.InstanceCount() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(APeerThatWasNeverHeardIsForgottenToo) {
+  peer_table table(AddressOf(0));
+  table.Know(AddressOf(1), kStart);
+  table.Know(AddressOf(1), kStart + milliseconds(20000));
+  BOOST_TEST(table.Forget(kStart + milliseconds(29999)).empty());
+  BOOST_TEST(table.Forget(kStart + milliseconds(30000)).size() == 1U);
+  BOOST_TEST(table.InstanceCount() == 1U);
+}
+
+}  // namespace basilhoist
