Chaos: the old index version goes only after the new one was accepted

For the second half of the run no shard of the only published version existed; every request was refused as 'draining' (traced by second, reason and the answers of the store's calls: put index False, then roll_index). Ruled out: the routers' or owners' drains; no drain was in force then. Change: the publisher tries again until the store has accepted the index and only then withdraws the old version, as an operator would. The checks are as before. Logs of a run that breaks a promise are kept under run/findings.

--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -2,7 +2,11 @@
 
 import argparse
 import json
+import pathlib
+import shutil
+import sys
 import tempfile
+import time
 
 import bench_chaos
 import bench_control
@@ -11,6 +15,8 @@
 import bench_ownership
 import bench_query
 
+FINDINGS = pathlib.Path(__file__).resolve().parent.parent / "run" / "findings"
+
 BENCHES = {
     "chaos": bench_chaos.run,
     "cold": bench_faults.cold,
@@ -26,6 +32,17 @@
 }
 
 
+def keep_findings(logs, arguments, figures):
+    """Keeps the logs of a run that broke a promise."""
+    if not any(value for name, (value, _) in figures.items()
+               if name.startswith("promise_")):
+        return
+    kept = FINDINGS / (f"{arguments.name}-{arguments.seed}-"
+                       f"{time.strftime('%Y%m%dT%H%M%S')}")
+    shutil.copytree(logs, kept)
+    print(f"a promise was broken; logs are kept in {kept}", file=sys.stderr)
+
+
 def main():
     parser = argparse.ArgumentParser(prog="scripts/bench")
     parser.add_argument("name", nargs="?", choices=sorted(BENCHES))
@@ -37,6 +54,7 @@
         return
     with tempfile.TemporaryDirectory() as logs:
         figures = BENCHES[arguments.name](logs, arguments.seed)
+        keep_findings(logs, arguments, figures)
     for name, (value, unit) in figures.items():
         print(f"{name} {value:.6g} {unit}")
     if arguments.json:
--- a/scripts/chaos.py
+++ b/scripts/chaos.py
@@ -218,10 +218,16 @@
             return False
         self.split = True
         self.site.backends(newest_version=2)
-        self.site.publish_index({1: False, 2: True})
-        self.at(2, lambda: self.site.backends(oldest_version=2))
+        self.publish_new_index()
         return True
 
+    def publish_new_index(self):
+        """The old version goes only once the store has taken the new one."""
+        if self.site.publish_index({1: False, 2: True}):
+            self.at(2, lambda: self.site.backends(oldest_version=2))
+        else:
+            self.at(1, self.publish_new_index)
+
     FAULTS = {
         "kill": kill, "freeze": freeze, "restart": restart, "cut": cut,
         "store_down": store_down, "store_slow": store_slow,
