Much stronger instances take the batches of weak ones

Change: instances tell their processor share. A batch goes to those of a domain with at least half of the greatest share there, divided where it is large; shards near the sender are relayed, too, where an instance of the own domain has twice its share. A peer counts as heard for longer where there are so many that each is heard seldom.

--- a/include/basilhoist/knowledge/peer_exchange.h
+++ b/include/basilhoist/knowledge/peer_exchange.h
@@ -44,6 +44,9 @@
 
   [[nodiscard]] const peer_table& Peers() const { return peers_; }
 
+  /// @return what peers told last, of those that were heard lately
+  [[nodiscard]] std::vector<peer_state> HeardLately() const;
+
  private:
   void Round();
   void Tell(std::size_t most);
--- a/include/basilhoist/knowledge/peer_table.h
+++ b/include/basilhoist/knowledge/peer_table.h
@@ -18,8 +18,11 @@
  public:
   /// A peer that was not heard for so long no longer counts.
   static constexpr milliseconds kForgetAfter{30000};
-  /// Heard lately enough to be relied on until shown otherwise.
+  /// Heard lately enough to be relied on until shown otherwise; longer where
+  /// there are so many peers that each is heard seldom.
   static constexpr milliseconds kHeardWithin{6000};
+  /// Of the usual time between two states of one peer.
+  static constexpr int kMissedStates = 2;
 
   /// How a state was taken.
   enum class taken : std::uint8_t {
@@ -46,8 +49,10 @@
   /// @return addresses of peers that were heard
   [[nodiscard]] std::vector<endpoint> Heard() const;
 
+  /// @param usual usual time between two states of one peer
   /// @return what peers told last, of those that were heard lately
-  [[nodiscard]] std::vector<peer_state> HeardLately(instant now) const;
+  [[nodiscard]] std::vector<peer_state> HeardLately(instant now,
+                                                    microseconds usual) const;
 
   /// @return instances to share limits with, this one included: those heard
   ///   lately and those known of but not heard yet
--- a/include/basilhoist/link/messages.h
+++ b/include/basilhoist/link/messages.h
@@ -229,7 +229,8 @@
   std::string fetch_address;  ///< "IP:port" where it hands out snapshots.
   std::string relay_address;  ///< "IP:port" where it takes relayed requests.
   std::string failure_domain;
-  bool serving = false;  ///< It is ready and not about to end.
+  double processor_share = 1;  ///< Cores that it may use.
+  bool serving = false;        ///< It is ready and not about to end.
   std::vector<held_snapshot> held;
   std::vector<std::string> peers;  ///< Addresses of instances it has heard.
   std::vector<suspect_report> suspects;
--- a/include/basilhoist/relay/relay_client.h
+++ b/include/basilhoist/relay/relay_client.h
@@ -16,10 +16,17 @@
 struct relay_peer {
   endpoint relay;
   std::string failure_domain;
+  double processor_share = 1;  ///< Cores that it may use.
 
   auto operator<=>(const relay_peer&) const = default;
 };
 
+/// Where the sender of batches stands, and what it can do itself.
+struct relay_client_options {
+  std::string failure_domain;
+  double processor_share = 1;  ///< Cores that it may use.
+};
+
 /// What the sender of a batch is told.
 struct relay_handlers {
   std::function<void(const relay_update&)> on_update;
@@ -39,18 +46,32 @@
   /// For the way of an update and its handling at both ends.
   static constexpr milliseconds kReturnMargin{4};
 
-  relay_client(event_loop& loop, relay_links& links)
-      : loop_(loop), links_(links) {}
+  /// An instance in the own failure domain gets shards near to both only if
+  /// it can do so much more: a batch costs work at both ends.
+  static constexpr double kStronger = 2;
+  /// Of one domain's instances, those that can do so much less than the
+  /// strongest one get no batches. Fewer instances keep connections warm.
+  static constexpr double kTooWeak = 0.5;
+  /// Shards that one instance sends before another one would have begun with
+  /// its part.
+  static constexpr std::size_t kLeastPart = 24;
+
+  relay_client(event_loop& loop, relay_links& links,
+               relay_client_options options)
+      : loop_(loop), links_(links), options_(std::move(options)) {}
 
   /// Sets the instances that take batches now.
   void SetPeers(std::vector<relay_peer> peers) { peers_ = std::move(peers); }
 
-  /// @param turn chooses one of several
-  /// @return a relay of the failure domain, or null
-  [[nodiscard]] const relay_peer* Choose(const std::string& failure_domain,
-                                         std::size_t turn) const;
+  /// @param turn chooses where there are several
+  /// @return relays of the failure domain among which so many shards are
+  ///   divided; none if no relay may be used
+  [[nodiscard]] std::vector<relay_peer> Choose(
+      const std::string& failure_domain, std::size_t shards,
+      std::size_t turn) const;
 
-  /// @return failure domains with a relay that may be used
+  /// @return failure domains with a relay that may be used; the own one only
+  ///   where it has a much stronger instance
   [[nodiscard]] std::set<std::string> Domains() const;
 
   /// Sends a batch.
@@ -72,10 +93,13 @@
     timer_id taken_timer = 0;
   };
 
+  [[nodiscard]] std::vector<relay_peer> Usable(
+      const std::string& failure_domain) const;
   void Fail(const endpoint& relay, const char* why);
 
   event_loop& loop_;
   relay_links& links_;
+  relay_client_options options_;
   std::vector<relay_peer> peers_;
   std::map<endpoint, instant> avoid_until_;
   std::map<std::uint64_t, batch> batches_;
--- a/include/basilhoist/relay/relay_plan.h
+++ b/include/basilhoist/relay/relay_plan.h
@@ -24,8 +24,9 @@
 
 /// Plans batches, so that a request crosses to few failure domains: again and
 /// again the domain that holds most of the shards left gets them. Shards with
-/// a server in the own domain are sent directly, and so is a batch too small
-/// to save anything.
+/// a server in the own domain stay there, and are sent directly unless the own
+/// domain is among the relays. A batch too small to save anything is sent
+/// directly as well.
 /// @param own this instance's failure domain
 /// @param relays failure domains with an instance that takes batches
 /// @param turn decides between domains with equally many shards
--- a/src/dispatch/fan_out_run.cc
+++ b/src/dispatch/fan_out_run.cc
@@ -75,21 +75,31 @@
     for (const relay_batch& batch :
          PlanRelays(places, shared_.options.failure_domain,
                     shared_.relays->Domains(), turn)) {
-      SendBatch(batch, turn);
+      Divide(batch, turn);
     }
   }
 
-  void SendBatch(const relay_batch& batch, std::size_t turn) {
-    const relay_peer* relay =
-        shared_.relays->Choose(batch.failure_domain, turn);
-    if (relay == nullptr) return;
+  // Neighbours of a batch's shards go to different relays of its domain.
+  void Divide(const relay_batch& batch, std::size_t turn) {
+    const std::vector<relay_peer> relays =
+        shared_.relays->Choose(batch.failure_domain, batch.shards.size(), turn);
+    for (std::size_t i = 0; i < relays.size(); ++i) {
+      relay_batch part{.failure_domain = batch.failure_domain};
+      for (std::size_t at = i; at < batch.shards.size(); at += relays.size()) {
+        part.shards.push_back(batch.shards[at]);
+      }
+      SendBatch(part, relays[i]);
+    }
+  }
+
+  void SendBatch(const relay_batch& batch, const relay_peer& relay) {
     std::vector<std::string> names;
     for (const std::size_t shard : batch.shards) {
       names.push_back(request_.matched->shards[shard]);
     }
     const auto self = shared_from_this();
     const std::uint64_t id = shared_.relays->Send(
-        *relay, *request_.outbound, request_.matched->most_records,
+        relay, *request_.outbound, request_.matched->most_records,
         std::move(names),
         {.on_update =
              [self, shards = batch.shards](const relay_update& update) {
--- a/src/knowledge/peer_table.cc
+++ b/src/knowledge/peer_table.cc
@@ -51,10 +51,13 @@
   return heard;
 }
 
-std::vector<peer_state> peer_table::HeardLately(instant now) const {
+std::vector<peer_state> peer_table::HeardLately(instant now,
+                                                microseconds usual) const {
+  const microseconds within =
+      std::max<microseconds>(kHeardWithin, usual * kMissedStates);
   std::vector<peer_state> states;
   for (const auto& [where, each] : peers_) {
-    if (each.heard && now - each.heard_at < kHeardWithin) {
+    if (each.heard && now - each.heard_at < within) {
       states.push_back(each.state);
     }
   }
--- a/src/relay/relay_client.cc
+++ b/src/relay/relay_client.cc
@@ -1,5 +1,6 @@
 #include "basilhoist/relay/relay_client.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "basilhoist/link/codec.h"
@@ -7,25 +8,46 @@
 
 namespace basilhoist {
 
-const relay_peer* relay_client::Choose(const std::string& failure_domain,
-                                       std::size_t turn) const {
+std::vector<relay_peer> relay_client::Usable(
+    const std::string& failure_domain) const {
   const instant now = Now();
-  std::vector<const relay_peer*> usable;
+  std::vector<relay_peer> usable;
+  double greatest = 0;
   for (const relay_peer& each : peers_) {
     if (each.failure_domain != failure_domain) continue;
     const auto avoided = avoid_until_.find(each.relay);
     if (avoided != avoid_until_.end() && now < avoided->second) continue;
-    usable.push_back(&each);
+    usable.push_back(each);
+    greatest = std::max(greatest, each.processor_share);
   }
-  return usable.empty() ? nullptr : usable[turn % usable.size()];
+  const double least = failure_domain == options_.failure_domain
+                           ? kStronger * options_.processor_share
+                           : 0;
+  std::erase_if(usable, [&](const relay_peer& each) {
+    return each.processor_share < std::max(least, kTooWeak * greatest);
+  });
+  return usable;
+}
+
+std::vector<relay_peer> relay_client::Choose(const std::string& failure_domain,
+                                             std::size_t shards,
+                                             std::size_t turn) const {
+  std::vector<relay_peer> usable = Usable(failure_domain);
+  if (usable.empty()) return usable;
+  std::rotate(
+      usable.begin(),
+      usable.begin() + static_cast<std::ptrdiff_t>(turn % usable.size()),
+      usable.end());
+  usable.resize(std::clamp<std::size_t>(shards / kLeastPart, 1, usable.size()));
+  return usable;
 }
 
 std::set<std::string> relay_client::Domains() const {
   std::set<std::string> domains;
   for (const relay_peer& each : peers_) {
-    if (Choose(each.failure_domain, 0) != nullptr) {
-      domains.insert(each.failure_domain);
-    }
+    if (domains.contains(each.failure_domain)) continue;
+    if (Usable(each.failure_domain).empty()) continue;
+    domains.insert(each.failure_domain);
   }
   return domains;
 }
--- a/src/router/knowledge.cc
+++ b/src/router/knowledge.cc
@@ -190,7 +190,7 @@
 
 void knowledge::OnPeer(const peer_state& state) {
   if (!state.suspects.empty()) on_.on_suspects(state.suspects);
-  on_.on_peers(peers_.Peers().HeardLately(Now()));
+  on_.on_peers(peers_.HeardLately());
   for (const held_snapshot& each : state.held) {
     Compare(each, state.fetch_address);
   }
@@ -249,6 +249,7 @@
   state.fetch_address = Format(settings_.ops_address);
   state.relay_address = Format(settings_.peer_address);
   state.failure_domain = settings_.failure_domain;
+  state.processor_share = settings_.processor_share;
   state.serving = !leaving_ && Ready();
   state.suspects = on_.suspects();
   for (const auto& each : feeds_) {
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -85,7 +85,9 @@
                    },
                .on_lost =
                    [this](const endpoint& relay) { relays.OnLost(relay); }}),
-        relays(the_loop, links),
+        relays(the_loop, links,
+               {.failure_domain = settings.failure_domain,
+                .processor_share = settings.processor_share}),
         known(the_loop, http, settings, platform, directory,
               {.on_table = [this](const routing_table_ptr& t) { OnTable(t); },
                .suspects = [this] { return shared.crashes.Reports(Now()); },
@@ -136,9 +138,9 @@
     std::vector<relay_peer> peers;
     for (const peer_state& each : heard) {
       if (!each.serving) continue;
-      if (each.failure_domain == settings.failure_domain) continue;
       peers.push_back({.relay = ParseEndpoint(each.relay_address),
-                       .failure_domain = each.failure_domain});
+                       .failure_domain = each.failure_domain,
+                       .processor_share = each.processor_share});
     }
     relays.SetPeers(std::move(peers));
   }
