Parts by what an instance can do; peers hand over only what changed

Ruled out: squares of the shares (a weak machine could not send the shards of a lost relay again). Change: the fixed part of the budget and the connections to a server are shared by processor share, a peer that was not heard yet counting like the strongest; the order of instances for cold servers is weighted alike. For equal machines all of it is as before.

--- a/include/basilhoist/dispatch/dispatcher.h
+++ b/include/basilhoist/dispatch/dispatcher.h
@@ -101,6 +101,8 @@
   /// Takes batches of shards; null where there is none.
   relay_client* relays = nullptr;
   std::size_t instances = 1;
+  /// Of this instance in what all of them share, 0 to 1.
+  double part = 1;
   instant started = Now();
   /// @return the place of this instance in the order of a key's instances
   std::function<std::size_t(std::uint64_t)> rank_of = [](std::uint64_t) {
--- a/include/basilhoist/dispatch/retry_budget.h
+++ b/include/basilhoist/dispatch/retry_budget.h
@@ -12,8 +12,8 @@
 struct retry_budget_options {
   /// Extra sends for each request of the window.
   double ratio = 0.1;
-  /// Extra sends that are allowed whatever the number of requests; an
-  /// instance has an equal part of them.
+  /// Extra sends that are allowed whatever the number of requests; each
+  /// instance has its part of them.
   double fixed = 0;
   milliseconds window{10000};
 
@@ -31,16 +31,16 @@
   /// A request for the service has begun.
   void OnRequest(instant now, milliseconds window);
 
+  /// @param part of this instance in what all of them share, 0 to 1
   /// @return whether one extra send is allowed; it is then counted
-  bool Spend(const retry_budget_options& options, std::size_t instances,
-             instant now);
+  bool Spend(const retry_budget_options& options, double part, instant now);
 
   /// An extra send was counted that reached no server.
   void Refund();
 
   /// @return the used share of what is allowed now, from 0 to 1
   [[nodiscard]] double Pressure(const retry_budget_options& options,
-                                std::size_t instances, instant now);
+                                double part, instant now);
 
  private:
   static constexpr std::size_t kBuckets = 20;
@@ -52,7 +52,7 @@
 
   void Advance(instant now, milliseconds window);
   [[nodiscard]] double Allowed(const retry_budget_options& options,
-                               std::size_t instances) const;
+                               double part) const;
 
   // One more than the window holds, since the oldest is partly outside.
   std::array<bucket, kBuckets + 1> buckets_{};
--- a/include/basilhoist/knowledge/peer_exchange.h
+++ b/include/basilhoist/knowledge/peer_exchange.h
@@ -12,7 +12,8 @@
 
 /// How a peer_exchange is set up.
 struct peer_exchange_options {
-  endpoint self;  ///< Where datagrams are taken.
+  endpoint self;                            ///< Where datagrams are taken.
+  std::uint32_t processor_permille = 1000;  ///< Of a core, for this instance.
   /// Between two rounds. Two rounds may be lost before a version that is due
   /// within three seconds is late.
   milliseconds period{500};
--- a/include/basilhoist/knowledge/peer_table.h
+++ b/include/basilhoist/knowledge/peer_table.h
@@ -11,6 +11,14 @@
 
 namespace basilhoist {
 
+/// What this instance may take of what all of them share.
+struct instance_part {
+  std::size_t instances = 0;
+  double part = 0;  ///< 0 to 1.
+
+  bool operator==(const instance_part&) const = default;
+};
+
 /// Remembers peers by their address until nobody hears them any more. What
 /// depends on the count of instances is bounded by it, so that it counts a
 /// peer that may be there.
@@ -35,7 +43,10 @@
     kIgnored,  ///< It is this instance's own, or of no address.
   };
 
-  explicit peer_table(endpoint self) : self_(std::move(self)) {}
+  /// @param self where this instance takes datagrams
+  /// @param processor_permille of a core that this instance may use
+  explicit peer_table(endpoint self, std::uint32_t processor_permille = 1000)
+      : self_(std::move(self)), processor_permille_(processor_permille) {}
 
   /// Adds an address where a peer may be.
   void Know(const endpoint& where, instant now);
@@ -63,8 +74,12 @@
   ///   lately and those known of but not heard yet
   [[nodiscard]] std::size_t InstanceCount() const { return peers_.size() + 1; }
 
-  /// Orders instances by rendezvous hashing, the same on all of them as far
-  /// as they know of each other.
+  /// @return the part of this instance in what all of them share, by what
+  ///   they can do; a peer that was not heard yet counts like the strongest
+  [[nodiscard]] double Part() const;
+
+  /// Orders instances by weighted rendezvous hashing, the same on all of them
+  /// as far as they know of each other. Strong ones tend to come first.
   /// @return how many known instances come before this one for a key
   [[nodiscard]] std::size_t RankFor(std::uint64_t key) const;
 
@@ -74,9 +89,17 @@
     instant heard_at;
     bool heard = false;
     peer_state state;
+
+    // One that states none still shares what is shared.
+    [[nodiscard]] std::uint32_t processor_permille() const {
+      return std::max(1U, state.processor_permille);
+    }
   };
 
+  [[nodiscard]] std::uint32_t Strongest() const;
+
   endpoint self_;
+  std::uint32_t processor_permille_;
   std::map<endpoint, peer> peers_;
 };
 
--- a/include/basilhoist/router/knowledge.h
+++ b/include/basilhoist/router/knowledge.h
@@ -26,7 +26,8 @@
     /// What peers told last.
     std::function<void(const std::vector<peer_state>&)> on_peers;
     /// More or fewer instances share the limits.
-    std::function<void(std::size_t)> on_instances;
+    /// The count of instances, or this one's part, has changed.
+    std::function<void(const instance_part&)> on_instances;
   };
 
   knowledge(event_loop& loop, http_client& http,
@@ -43,7 +44,8 @@
   [[nodiscard]] bool Ready() const;
 
   /// @return a kind's snapshot as text for a peer, or empty if it is unknown
-  [[nodiscard]] std::string SnapshotText(const std::string& kind) const;
+  [[nodiscard]] std::string SnapshotText(const std::string& kind,
+                                         std::uint64_t since) const;
 
   [[nodiscard]] const std::vector<std::unique_ptr<object_feed>>& Feeds() const {
     return feeds_;
@@ -78,7 +80,7 @@
   std::uint64_t incarnation_;
   std::uint64_t table_version_ = 0;
   bool leaving_ = false;
-  std::size_t instances_ = 0;
+  instance_part part_;
   // Since when a peer has held more of a kind than the store told here.
   std::map<std::string, instant> behind_since_;
   std::map<std::string, instant> fetched_at_;
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -108,7 +108,7 @@
   const unsigned most = SettingsOf(service).max_connections;
   const unsigned shared =
       most > kReservedConnections ? most - kReservedConnections : 1;
-  return std::max(1U, shared / static_cast<unsigned>(instances));
+  return std::max(1U, static_cast<unsigned>(shared * part));
 }
 
 }  // namespace basilhoist
--- a/src/dispatch/retry_budget.cc
+++ b/src/dispatch/retry_budget.cc
@@ -10,10 +10,10 @@
   ++requests_;
 }
 
-bool retry_budget::Spend(const retry_budget_options& options,
-                         std::size_t instances, instant now) {
+bool retry_budget::Spend(const retry_budget_options& options, double part,
+                         instant now) {
   Advance(now, options.window);
-  if (extras_ + 1 > Allowed(options, instances)) return false;
+  if (extras_ + 1 > Allowed(options, part)) return false;
   ++buckets_[static_cast<std::size_t>(last_) % buckets_.size()].extras;
   ++extras_;
   return true;
@@ -26,17 +26,16 @@
   --extras_;
 }
 
-double retry_budget::Pressure(const retry_budget_options& options,
-                              std::size_t instances, instant now) {
+double retry_budget::Pressure(const retry_budget_options& options, double part,
+                              instant now) {
   Advance(now, options.window);
-  const double allowed = Allowed(options, instances);
+  const double allowed = Allowed(options, part);
   return allowed <= 0 ? 1 : std::min(1.0, extras_ / allowed);
 }
 
 double retry_budget::Allowed(const retry_budget_options& options,
-                             std::size_t instances) const {
-  return kUsedShare * (options.ratio * requests_ +
-                       options.fixed / static_cast<double>(instances));
+                             double part) const {
+  return kUsedShare * (options.ratio * requests_ + options.fixed * part);
 }
 
 void retry_budget::Advance(instant now, milliseconds window) {
--- a/src/dispatch/service_call.cc
+++ b/src/dispatch/service_call.cc
@@ -148,7 +148,7 @@
     return attempt::kLater;
   }
   if (reached_ && !shared_.budgets[service_].Spend(shared_.RetryLimits(now),
-                                                   shared_.instances, now)) {
+                                                   shared_.part, now)) {
     ++shared_.counts.budget_refusals;
     return attempt::kNever;
   }
@@ -220,7 +220,7 @@
   if (!request_->idempotent || request_->max_attempts < 2) return;
   const instant now = Now();
   const double pressure = shared_.budgets[service_].Pressure(
-      shared_.RetryLimits(now), shared_.instances, now);
+      shared_.RetryLimits(now), shared_.part, now);
   const auto delay = shared_.timings[request_->route_name].SecondSendDelay(
       request_->objective, request_->objective_at - now, pressure);
   shared_.loop.Cancel(second_timer_);
--- a/src/knowledge/peer_exchange.cc
+++ b/src/knowledge/peer_exchange.cc
@@ -19,7 +19,7 @@
     : loop_(loop),
       options_(std::move(options)),
       on_(std::move(on)),
-      peers_(options_.self),
+      peers_(options_.self, options_.processor_permille),
       random_(options_.seed),
       socket_(loop, options_.self,
               [this](std::string_view bytes) { OnDatagram(bytes); }) {}
--- a/src/knowledge/peer_table.cc
+++ b/src/knowledge/peer_table.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace basilhoist {
 
@@ -66,15 +67,39 @@
   return states;
 }
 
+std::uint32_t peer_table::Strongest() const {
+  std::uint32_t strongest = processor_permille_;
+  for (const auto& [where, each] : peers_) {
+    if (each.heard) strongest = std::max(strongest, each.processor_permille());
+  }
+  return strongest;
+}
+
+double peer_table::Part() const {
+  const std::uint32_t unheard = Strongest();
+  double all = processor_permille_;
+  for (const auto& [where, each] : peers_) {
+    all += each.heard ? each.processor_permille() : unheard;
+  }
+  return processor_permille_ / all;
+}
+
+// With equal weights this is the order of the hashes themselves.
 std::size_t peer_table::RankFor(std::uint64_t key) const {
-  const auto weight = [key](const endpoint& where) {
+  const auto score = [key](const endpoint& where, std::uint32_t weight) {
     const std::string text = Format(where);
-    return XXH64(text.data(), text.size(), key);
+    const auto hash = static_cast<double>(XXH64(text.data(), text.size(), key));
+    constexpr double kHashes = 18446744073709551616.0;  // 2^64
+    return -static_cast<double>(weight) / std::log((hash + 0.5) / kHashes);
   };
-  const std::uint64_t own = weight(self_);
-  return static_cast<std::size_t>(std::count_if(
-      peers_.begin(), peers_.end(),
-      [&](const auto& entry) { return weight(entry.first) > own; }));
+  const double own = score(self_, processor_permille_);
+  const std::uint32_t unheard = Strongest();
+  return static_cast<std::size_t>(
+      std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) {
+        const auto& [where, each] = entry;
+        return score(where, each.heard ? each.processor_permille() : unheard) >
+               own;
+      }));
 }
 
 }  // namespace basilhoist
--- a/src/router/knowledge.cc
+++ b/src/router/knowledge.cc
@@ -1,15 +1,15 @@
 #include "basilhoist/router/knowledge.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "basilhoist/knowledge/snapshot_text.h"
 #include "basilhoist/ops/event_line.h"
 
 namespace basilhoist {
 namespace {
 
-using nlohmann::json;
-
 // Tried again after a failure to write or read the list of instances.
 constexpr milliseconds kRegisterRetry{1500};
 // A peer's newer snapshot is fetched once the store has failed here for so
@@ -22,32 +22,8 @@
 constexpr milliseconds kExpirePeriod{250};
 constexpr int kHttpOk = 200;
 
-std::string ToText(const object_snapshot& snapshot) {
-  json objects = json::array();
-  for (const auto& [name, each] : snapshot.objects) {
-    objects.push_back({{"name", name},
-                       {"revision", each.revision},
-                       {"content", each.content}});
-  }
-  return json{{"revision", snapshot.revision}, {"objects", std::move(objects)}}
-      .dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
-std::optional<object_snapshot> FromText(const std::string& text) {
-  try {
-    const json value = json::parse(text);
-    object_snapshot snapshot{.revision = value.at("revision")};
-    for (const json& each : value.at("objects")) {
-      object made{.name = each.at("name"),
-                  .revision = each.at("revision"),
-                  .content = each.at("content")};
-      std::string name = made.name;
-      snapshot.objects.emplace(std::move(name), std::move(made));
-    }
-    return snapshot;
-  } catch (const json::exception&) {
-    return std::nullopt;  // The caller logs what was not readable.
-  }
+std::uint32_t Permille(double processor_share) {
+  return std::max(1U, static_cast<std::uint32_t>(processor_share * kPermille));
 }
 
 }  // namespace
@@ -65,6 +41,7 @@
                     .dialect = platform_.dialect}),
       peers_(loop,
              {.self = settings.peer_address,
+              .processor_permille = Permille(settings.processor_share),
               .seed = std::hash<std::string>()(settings.name)},
              {.fill = [this](peer_state& state) { Fill(state); },
               .on_state = [this](const peer_state& s) { OnPeer(s); }}),
@@ -110,10 +87,11 @@
   return table_version_ > 0 && FeedOf(platform_.kinds.servers)->State().Known();
 }
 
-std::string knowledge::SnapshotText(const std::string& kind) const {
+std::string knowledge::SnapshotText(const std::string& kind,
+                                    std::uint64_t since) const {
   const object_feed* feed = FeedOf(kind);
   if (feed == nullptr || !feed->State().Known()) return {};
-  return ToText(feed->State().Snapshot());
+  return FormatSnapshot(feed->State().Snapshot(), since);
 }
 
 void knowledge::OnRouting(const object_feed& feed) {
@@ -233,12 +211,16 @@
   instant& last = fetched_at_[kind];
   if (last > instant() && now - last < kFetchEvery) return;
   last = now;
+  const feed_state& ours = FeedOf(kind)->State();
+  const std::uint64_t since = ours.Known() ? ours.Snapshot().revision : 0;
   http_.Start(
-      {.url = "http://" + fetch_address + "/snapshots/" + kind,
+      {.url = "http://" + fetch_address + "/snapshots/" + kind +
+              "?since=" + std::to_string(since),
        .timeout = kFetchTimeout},
       [this, kind](http_result& result) {
         if (!result.Answered() || result.Status() != kHttpOk) return;
-        const auto snapshot = FromText(result.Body());
+        const auto snapshot =
+            ParseSnapshot(result.Body(), FeedOf(kind)->State().Snapshot());
         if (!snapshot) {
           event_line("knowledge", "snapshot_unreadable").With("kind", kind);
           return;
@@ -253,8 +235,7 @@
   state.fetch_address = Format(settings_.ops_address);
   state.relay_address = Format(settings_.peer_address);
   state.failure_domain = settings_.failure_domain;
-  state.processor_permille =
-      static_cast<std::uint32_t>(settings_.processor_share * kPermille);
+  state.processor_permille = Permille(settings_.processor_share);
   state.serving = !leaving_ && Ready();
   state.suspects = on_.suspects();
   for (const auto& each : feeds_) {
@@ -271,10 +252,11 @@
 }
 
 void knowledge::CountInstances() {
-  const std::size_t count = peers_.Peers().InstanceCount();
-  if (count == instances_) return;
-  instances_ = count;
-  on_.on_instances(count);
+  const instance_part part{.instances = peers_.Peers().InstanceCount(),
+                           .part = peers_.Peers().Part()};
+  if (part == part_) return;
+  part_ = part;
+  on_.on_instances(part);
 }
 
 }  // namespace basilhoist
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -100,7 +100,8 @@
                    [this](const std::vector<peer_state>& heard) {
                      OnPeers(heard);
                    },
-               .on_instances = [this](std::size_t n) { OnInstances(n); }}),
+               .on_instances =
+                   [this](const instance_part& p) { OnInstances(p); }}),
         callers(the_loop, ServerOptions(settings.caller_address),
                 [this](const auto& exchange) { gate.Take(exchange); }),
         readiness(the_loop, ServerOptions(settings.readiness_address),
@@ -150,11 +151,13 @@
     return gate.InFlight() + relayed.InFlight();
   }
 
-  void OnInstances(std::size_t count) {
+  void OnInstances(const instance_part& taken) {
     event_line("router", "instances_counted")
-        .With("count", count)
-        .With("before", shared.instances);
-    shared.instances = count;
+        .With("count", taken.instances)
+        .With("before", shared.instances)
+        .With("part", taken.part);
+    shared.instances = taken.instances;
+    shared.part = taken.part;
   }
 
   void AnswerReadiness(http_exchange& exchange) const {
@@ -175,7 +178,9 @@
     } else if (path == "/metrics") {
       exchange.Reply({.content_type = "text/plain", .body = Metrics()});
     } else if (path.starts_with(snapshots)) {
-      std::string text = known.SnapshotText(path.substr(snapshots.size()));
+      std::string text = known.SnapshotText(
+          path.substr(snapshots.size()),
+          std::strtoull(exchange.Argument("since").c_str(), nullptr, 10));
       if (text.empty()) {
         exchange.Reply({.status = kNotFound});
       } else {
@@ -203,6 +208,7 @@
         {"servers", directory.Size()},
         {"evacuated", directory.Evacuated()},
         {"instances", shared.instances},
+        {"part", shared.part},
         {"requests_in_flight", gate.InFlight()},
         {"caller_connections", callers.Connections()},
         {"feeds", std::move(feeds)}}
--- a/tests/dispatch_policy_test.cc
+++ b/tests/dispatch_policy_test.cc
@@ -39,7 +39,8 @@
     if (*rc::gen::inRange(0, 3) == 0) {
       budgets[which].OnRequest(now, options.window);
       log.push_back({now_ms, false});
-    } else if (budgets[which].Spend(options, instances, now)) {
+    } else if (budgets[which].Spend(
+                   options, 1.0 / static_cast<double>(instances), now)) {
       log.push_back({now_ms, true});
     }
     while (log.front().at_ms < now_ms - options.window.count()) {
--- a/tests/peer_table_test.cc
+++ b/tests/peer_table_test.cc
@@ -5,6 +5,7 @@
 #include <rapidcheck/boost_test.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/test/unit_test.hpp>
 #include <deque>
 #include <optional>
@@ -190,6 +191,50 @@
   }
 }
 
+// Each instance takes its part; the parts of all must not exceed the whole.
+RC_BOOST_PROP(PartsAddUpToTheWhole, ()) {
+  const auto shares = *rc::gen::container<std::vector<std::uint32_t>>(
+      *rc::gen::inRange(std::size_t{1}, kMostInstances),
+      rc::gen::inRange(1U, 2000U));
+  double all = 0;
+  for (std::size_t i = 0; i < shares.size(); ++i) {
+    peer_table table(AddressOf(i), shares[i]);
+    for (std::size_t j = 0; j < shares.size(); ++j) {
+      table.Take(
+          {.address = Format(AddressOf(j)), .processor_permille = shares[j]},
+          kStart);
+    }
+    all += table.Part();
+  }
+  RC_ASSERT(std::abs(all - 1) < 1e-9);
+}
+
+RC_BOOST_PROP(PartsOfEqualsNeverExceedTheWhole, ()) {
+  const auto size = *rc::gen::inRange(std::size_t{1}, kMostInstances);
+  double all = 0;
+  for (std::size_t i = 0; i < size; ++i) {
+    peer_table table(AddressOf(i), 250);
+    for (std::size_t j = 0; j < size; ++j) {
+      table.Know(AddressOf(j), kStart);
+      if (!*rc::gen::arbitrary<bool>()) continue;
+      table.Take({.address = Format(AddressOf(j)), .processor_permille = 250},
+                 kStart);
+    }
+    all += table.Part();
+  }
+  RC_ASSERT(all <= 1 + 1e-9);
+}
+
+BOOST_AUTO_TEST_CASE(StrongInstancesTakeMore) {
+  peer_table weak(AddressOf(0), 120);
+  weak.Take({.address = Format(AddressOf(1)), .processor_permille = 500},
+            kStart);
+  BOOST_TEST(std::abs(weak.Part() - 120.0 / 620) < 1e-9);
+  // One that was not heard counts like the strongest.
+  weak.Know(AddressOf(2), kStart);
+  BOOST_TEST(std::abs(weak.Part() - 120.0 / 1120) < 1e-9);
+}
+
 BOOST_AUTO_TEST_CASE(AnInstanceIsNoPeerOfItself) {
   peer_table table(AddressOf(0));
   table.Know(AddressOf(0), kStart);
