Process tests of containment and of cold servers

A request that ends the servers that take it: three may end; four seconds later, with other requests in between, at most three more repeats reach servers, and each router refuses it while others are served. A server that restarts cold, with a rate of 5 a second named by its service: from four routers together it gets at most 1.5 x 5 + 5 requests in any second, and its part once it is warm.

--- a/scripts/platform_rig.py
+++ b/scripts/platform_rig.py
@@ -173,6 +173,10 @@
                 pass
 
 
+# A request with this in its target ends the server that takes it.
+POISON = "poison"
+
+
 class Backend:
     """One backend server: slots, a queue, proofs, and ways to misbehave."""
 
@@ -189,6 +193,8 @@
         self.sequence = 0
         self.mode = "well"  # well, shed, lost, reset, cut, extra, slow, fail
         self.paused_until = 0.0
+        self.warmup_left_ms = 0
+        self.crashed = False
         self.server = None
         self.ran = []  # (request id, time)
         self.cut_work = 0
@@ -211,16 +217,26 @@
             "service": self.service,
             "address": f"{self.address}:{SERVER_PORT}", "zone": self.zone,
             "version": "v1", "slots": self.slots, "state": self.state,
-            "warmupLeftMs": 0, "sequence": self.sequence, "born": self.born})
+            "warmupLeftMs": self.warmup_left_ms, "sequence": self.sequence, "born": self.born})
 
     def drain(self):
         self.state = "draining"
         self.enter()
 
+    def restart_cold(self, warmup_ms):
+        """A new run under the same id, which bears little at first."""
+        self.born += 1
+        self.warmup_left_ms = warmup_ms
+        self.enter()
+
     async def _serve(self, reader, writer):
         self.writers.add(writer)
         try:
             while (request := await read_request(reader)) is not None:
+                if POISON in request[1]:
+                    self.crashed = True
+                    await self.stop()
+                    break
                 if not await self._handle(reader, writer, *request):
                     break
         except (ConnectionError, asyncio.CancelledError):
--- a/tests/platform_path_test.py
+++ b/tests/platform_path_test.py
@@ -389,5 +389,81 @@
         return True
 
 
+class ContainmentTest(RigTest):
+    OPTIONS = {"singles": 8}
+    CRASHES = 3  # servers that a request may end before it is kept out
+    KNOWN_WITHIN_S = 4  # everywhere, after the last of them
+    MOST_REPEATS = 3  # that reach servers later
+
+    def crashed(self):
+        return sum(each.crashed for each in self.rig.of("single"))
+
+    def test_a_request_that_crashes_servers_is_kept_out_everywhere(self):
+        target = f"/get/{platform_rig.POISON}"
+        turn = 0
+        while self.crashed() < self.CRASHES:
+            self.rig.ask(turn % self.rig.count, target,
+                         request_id=f"p{turn}", timeout=4)
+            turn += 1
+        crashed = self.crashed()
+        until = time.monotonic() + self.KNOWN_WITHIN_S
+        while time.monotonic() < until:  # others find that servers are gone
+            turn += 1
+            self.rig.ask(turn % self.rig.count, f"/get/{turn}",
+                         request_id=f"g{turn}", timeout=4)
+            time.sleep(0.02)
+        for repeat in range(12):
+            reply = self.rig.ask(repeat % self.rig.count, target,
+                                 request_id=f"r{repeat}", timeout=4)
+        self.assertLessEqual(self.crashed() - crashed, self.MOST_REPEATS)
+        for number in range(self.rig.count):
+            reply = self.rig.ask(number, target, request_id=f"l{number}")
+            self.assertEqual(503, reply[0], "not known everywhere")
+            reply = self.rig.ask(number, "/get/x", request_id=f"x{number}")
+            self.assertEqual(200, reply[0], "others suffer")
+
+
+class ColdServerTest(RigTest):
+    OPTIONS = {"singles": 3, "work_ms": 2}
+    RATE_PER_S = 5
+    # Of the users' bounds: 1.5 times the rate and five requests.
+    MOST_IN_A_SECOND = 1.5 * RATE_PER_S + 5
+    COLD_S = 3
+    PERIOD_S = 0.01
+
+    def test_a_cold_server_gets_its_rate_from_all_routers_together(self):
+        services = [{**each, "warmupPerS": float(self.RATE_PER_S),
+                     "warmupS": float(self.COLD_S)}
+                    for each in self.rig.routing(0)["services"]]
+        version = self.rig.publish(services=services)
+        self.rig.wait(lambda: all(self.in_force(number) == version
+                                  for number in range(self.rig.count)))
+        cold = self.rig.of("single")[0]
+        self.rig.call(cold.restart_cold, self.COLD_S * 1000)
+        # In force at all routers; they hear of servers within a second.
+        time.sleep(1)
+        began = time.time()
+        until = began + self.COLD_S - 1.2
+        with concurrent.futures.ThreadPoolExecutor(16) as pool:
+            number = 0
+            while time.time() < until:
+                pool.submit(self.rig.ask, number % self.rig.count,
+                            f"/get/{number}", request_id=f"c{number}")
+                number += 1
+                time.sleep(self.PERIOD_S)
+        self.assertGreater(number, 100)
+        arrivals = [at for _, at in cold.ran if at >= began]
+        for first in arrivals:
+            within = sum(first <= at < first + 1 for at in arrivals)
+            self.assertLessEqual(within, self.MOST_IN_A_SECOND)
+        # It is warm again, and takes its part.
+        time.sleep(max(0, began + self.COLD_S + 1 - time.time()))
+        before = len(cold.ran)
+        for number in range(60):
+            self.rig.ask(number % self.rig.count, f"/get/{number}",
+                         request_id=f"w{number}")
+        self.assertGreater(len(cold.ran) - before, 5)
+
+
 if __name__ == "__main__":
     unittest.main()
