--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -13,7 +13,9 @@
 import bench_control_path
 import bench_faults
 import bench_ownership
+import bench_patterns
 import bench_query
+import svg_report
 
 FINDINGS = pathlib.Path(__file__).resolve().parent.parent / "run" / "findings"
 
@@ -26,6 +28,7 @@
     "ownership": bench_ownership.run,
     "once": bench_control_path.once,
     "overload": bench_faults.overload,
+    "patterns": bench_patterns.run,
     "query": bench_query.run,
     "rolling": bench_faults.rolling,
     "subrequest": bench_control.subrequest,
@@ -48,6 +51,7 @@
     parser.add_argument("name", nargs="?", choices=sorted(BENCHES))
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--json")
+    parser.add_argument("--svg")
     arguments = parser.parse_args()
     if not arguments.name:
         print("\n".join(sorted(BENCHES)))
@@ -57,6 +61,9 @@
         keep_findings(logs, arguments, figures)
     for name, (value, unit) in figures.items():
         print(f"{name} {value:.6g} {unit}")
+    if arguments.svg:
+        svg_report.write(arguments.svg, f"{arguments.name}, seed "
+                         f"{arguments.seed}", figures)
     if arguments.json:
         with open(arguments.json, "w", encoding="utf-8") as file:
             json.dump({name: value for name, (value, _) in figures.items()},
--- a/scripts/platform_rig.py
+++ b/scripts/platform_rig.py
@@ -195,6 +195,7 @@
         self.paused_until = 0.0
         self.warmup_left_ms = 0
         self.crashed = False
+        self.lost_share = 0.0  # of its replies
         self.server = None
         self.ran = []  # (request id, time)
         self.cut_work = 0
@@ -282,7 +283,7 @@
 
     def _reply(self, writer, request_id, echo, target, body):
         proof = ("Basilhoist-Server-Signature", signature(self.id, request_id))
-        if self.mode == "lost":
+        if self.mode == "lost" or self.rig.random.random() < self.lost_share:
             return False
         if self.mode == "reset":
             writer.transport.abort()
