A peer that knows as little does not hide one that knows more

Ruled out: the entries themselves (the store had them), late datagrams. Change: lead_tracker keeps the highest lead until this router has caught up.

--- a/include/basilhoist/router/knowledge.h
+++ b/include/basilhoist/router/knowledge.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "basilhoist/directory/server_directory.h"
+#include "basilhoist/knowledge/lead_tracker.h"
 #include "basilhoist/knowledge/object_feed.h"
 #include "basilhoist/knowledge/peer_exchange.h"
 #include "basilhoist/router/platform_binding.h"
@@ -82,7 +83,7 @@
   bool leaving_ = false;
   instance_part part_;
   // Since when a peer has held more of a kind than the store told here.
-  std::map<std::string, instant> behind_since_;
+  std::map<std::string, lead_tracker> leads_;  // by kind
   std::map<std::string, instant> fetched_at_;
 };
 
--- a/src/router/knowledge.cc
+++ b/src/router/knowledge.cc
@@ -16,9 +16,6 @@
 // long, and not more often than this for one kind.
 constexpr milliseconds kFetchEvery{400};
 constexpr milliseconds kFetchTimeout{800};
-// The store answers, but a watch may hang: a peer that stays ahead for so
-// long makes this router list again.
-constexpr milliseconds kBehindBeforeListing{800};
 constexpr milliseconds kExpirePeriod{250};
 constexpr int kHttpOk = 200;
 
@@ -183,24 +180,17 @@
   object_feed* feed = FeedOf(theirs.kind);
   if (feed == nullptr) return;
   const feed_state& ours = feed->State();
-  const bool behind =
-      !ours.Known() || (theirs.revision > ours.Snapshot().revision &&
-                        theirs.digest != feed->Digest());
-  if (!behind) {
-    behind_since_.erase(theirs.kind);
-    return;
-  }
-  const instant now = Now();
-  const instant since =
-      behind_since_.try_emplace(theirs.kind, now).first->second;
-  if (!ours.Healthy() || !ours.Known()) {
+  const peer_lead told{.ours = ours.Snapshot().revision,
+                       .theirs = theirs.revision,
+                       .same_content = theirs.digest == feed->Digest()};
+  const bool overdue = leads_[theirs.kind].OnPeer(told, Now());
+  if (!ours.Known() || (!ours.Healthy() && told.Ahead())) {
     Fetch(theirs.kind, fetch_address);
-  } else if (now - since > kBehindBeforeListing) {
+  } else if (overdue && ours.Healthy()) {
     event_line("knowledge", "watch_behind_peer")
         .With("kind", theirs.kind)
-        .With("revision", ours.Snapshot().revision)
-        .With("peer_revision", theirs.revision);
-    behind_since_.erase(theirs.kind);
+        .With("revision", told.ours)
+        .With("peer_revision", told.theirs);
     feed->ListAgain();
   }
 }
