The grace of a vanished entry counts from when it can have vanished

Change: where the store has answered within 1.8 s, the grace counts from the answer before, when the entry was still there. After a hang or an outage it counts from the answer that lacks the entry, since entries may have lapsed. Tests, red without the change: TheGraceCountsFromWhenAnEntryCanHaveVanished; ASnapshotIsCurrentUntilTheAnswerBefore.

--- a/include/basilhoist/directory/server_directory.h
+++ b/include/basilhoist/directory/server_directory.h
@@ -39,7 +39,13 @@
   static constexpr milliseconds kLapseGrace{2200};
 
   /// Takes a snapshot of all servers.
-  void Apply(const std::vector<backend_server>& servers, instant now);
+  /// @param vanished_since the earliest time at which an entry that is missing
+  ///   now can have vanished
+  void Apply(const std::vector<backend_server>& servers, instant now,
+             instant vanished_since);
+  void Apply(const std::vector<backend_server>& servers, instant now) {
+    Apply(servers, now, now);
+  }
 
   /// Takes the last entries of servers that the next snapshot lacks. Those that
   /// were draining leave at once then, not after the grace.
--- a/include/basilhoist/knowledge/feed_state.h
+++ b/include/basilhoist/knowledge/feed_state.h
@@ -56,6 +56,10 @@
   ///   just before the end may be in no snapshot
   [[nodiscard]] const object_snapshot& Removed() const { return removed_; }
 
+  /// @return when the snapshot before this one was still up to date; the origin
+  ///   of time if there was none
+  [[nodiscard]] instant CurrentBefore() const { return current_before_; }
+
   /// @return whether a snapshot was ever taken
   [[nodiscard]] bool Known() const { return known_; }
 
@@ -68,6 +72,7 @@
  private:
   void OnFailure(instant now);
   void Take(const object_event& event);
+  void SetCurrent(instant now);
   void GatherAfterChanges(instant now);
   bool Commit(object_snapshot taken);
 
@@ -83,6 +88,9 @@
   std::string after_;
   unsigned failures_ = 0;
   instant last_failure_;
+  // Of the last two answers that brought the snapshot up to date.
+  instant current_at_;
+  instant current_before_;
 };
 
 }  // namespace basilhoist
--- a/src/directory/server_directory.cc
+++ b/src/directory/server_directory.cc
@@ -12,7 +12,7 @@
 }
 
 void server_directory::Apply(const std::vector<backend_server>& servers,
-                             instant now) {
+                             instant now, instant vanished_since) {
   std::map<std::string, listed_server_ptr> next;
   std::set<endpoint> addresses;
   for (const backend_server& each : servers) {
@@ -43,7 +43,7 @@
       Drop(*server);
       continue;
     }
-    if (!server->missing) server->missing_since = now;
+    if (!server->missing) server->missing_since = vanished_since;
     server->missing = true;
     next.emplace(id, server);
   }
--- a/src/knowledge/feed_state.cc
+++ b/src/knowledge/feed_state.cc
@@ -41,6 +41,7 @@
   }
   listing_ = false;
   after_.clear();
+  SetCurrent(now);
   return Commit(std::exchange(pages_, {}));
 }
 
@@ -62,6 +63,7 @@
     GatherAfterChanges(now);
   }
   if (events.revision < snapshot_.revision) return false;
+  SetCurrent(now);
   removed_ = {.revision = events.revision};
   for (const object_event& each : events.events) Take(each);
   snapshot_.revision = events.revision;
@@ -79,6 +81,10 @@
   if (!last.empty()) removed_.objects[name] = std::move(last.mapped());
 }
 
+void feed_state::SetCurrent(instant now) {
+  current_before_ = std::exchange(current_at_, now);
+}
+
 // Changes go on if these came within a delay of the wait's end.
 void feed_state::GatherAfterChanges(instant now) {
   const bool going_on = gather_.count() > 0 && now - last_change_ < 2 * gather_;
--- a/src/router/knowledge.cc
+++ b/src/router/knowledge.cc
@@ -17,6 +17,8 @@
 constexpr milliseconds kFetchEvery{400};
 constexpr milliseconds kFetchTimeout{800};
 constexpr milliseconds kExpirePeriod{250};
+// The longest gathering and a slow answer.
+constexpr milliseconds kAnswersWithin = 2 * feed_state::kLongestGather;
 constexpr int kHttpOk = 200;
 
 std::uint32_t Permille(double processor_share) {
@@ -108,7 +110,13 @@
   if (!removed.objects.empty()) {
     directory_.TakeLast(platform_.contents->Servers(removed));
   }
-  directory_.Apply(platform_.contents->Servers(feed.State().Snapshot()), Now());
+  const instant now = Now();
+  // If the store has answered all the while, the grace counts from the answer
+  // before; time spent on gathering changes does not add to it.
+  const instant before = feed.State().CurrentBefore();
+  const bool answered = now - before <= kAnswersWithin;
+  directory_.Apply(platform_.contents->Servers(feed.State().Snapshot()), now,
+                   answered ? before : now);
   event_line("knowledge", "servers_taken")
       .With("count", directory_.Size())
       .With("missing", directory_.MissingCount())
--- a/tests/feed_state_test.cc
+++ b/tests/feed_state_test.cc
@@ -214,6 +214,20 @@
   BOOST_TEST(feed.Removed().objects.empty());
 }
 
+BOOST_AUTO_TEST_CASE(ASnapshotIsCurrentUntilTheAnswerBefore) {
+  fake_store store;
+  store.Write("a", 1);
+  feed_state feed;
+  feed.OnPage(call_outcome::kOk, store.Page({}, 9), kStart);
+  feed.OnEvents(call_outcome::kNotDone, {}, kStart + milliseconds(100));
+  feed.OnEvents(call_outcome::kOk, *store.Events(feed.Next().revision),
+                kStart + milliseconds(900));
+  BOOST_TEST((feed.CurrentBefore() == kStart));
+  feed.OnEvents(call_outcome::kOk, *store.Events(feed.Next().revision),
+                kStart + milliseconds(1800));
+  BOOST_TEST((feed.CurrentBefore() == kStart + milliseconds(900)));
+}
+
 // 280 servers that register one after the other cost each instance 13 calls.
 BOOST_AUTO_TEST_CASE(ChangesThatGoOnAreGatheredForLonger) {
   fake_store store;
--- a/tests/server_directory_test.cc
+++ b/tests/server_directory_test.cc
@@ -94,6 +94,18 @@
   BOOST_TEST(directory.Size() == 0U);
 }
 
+// quetzal's fresh-7950: an entry that had vanished 0.74 s before the snapshot
+// was kept for the whole grace after it, and 11 ms over the bound in all.
+BOOST_FIXTURE_TEST_CASE(TheGraceCountsFromWhenAnEntryCanHaveVanished, fixture) {
+  const instant now = kStart + milliseconds(900);
+  directory.Apply({Server("a"), Server("b")}, kStart);
+  directory.Apply({Server("b")}, now, kStart);
+  directory.Apply({Server("b")}, now + milliseconds(900), now);
+  BOOST_TEST(!directory.Expire(kStart + milliseconds(2199)));
+  BOOST_TEST(directory.Expire(kStart + server_directory::kLapseGrace));
+  BOOST_TEST(gone == std::vector<std::string>{"a"});
+}
+
 // quetzal's trouble-1 with gathering up to 1.2 s: a server began to drain and
 // vanished between two snapshots, and got new work for the whole grace.
 BOOST_FIXTURE_TEST_CASE(ADrainBetweenTwoSnapshotsEndsTheServerAtOnce, fixture) {
