--- a/include/basilhoist/document/document_sync.h
+++ b/include/basilhoist/document/document_sync.h
@@ -15,7 +15,7 @@
   /// @param site whose documents to watch
   /// @param is_watcher asked before each watch
   document_sync(event_loop& loop, object_store& store,
-                document_table& documents, std::string site,
+                document_table& documents, const std::string& site,
                 std::function<bool()> is_watcher);
 
   void Start();
--- a/src/document/document_sync.cc
+++ b/src/document/document_sync.cc
@@ -16,7 +16,7 @@
 }  // namespace
 
 document_sync::document_sync(event_loop& loop, object_store& store,
-                             document_table& documents, std::string site,
+                             document_table& documents, const std::string& site,
                              std::function<bool()> is_watcher)
     : loop_(loop),
       store_(store),
