--- a/tests/field_syntax_test.cc
+++ b/tests/field_syntax_test.cc
@@ -8,10 +8,8 @@
 // Found by fuzzing callers' bytes: a name with a byte over 127 was sent on.
 BOOST_AUTO_TEST_CASE(NamesAreTokens) {
   BOOST_TEST(IsToken("X-Request_Id.1"));
-  for (const char* name : {"",
-                           "Transfer-E\xa4"
-                           "coding",
-                           "a b", "a:", "a\t", "a\r\nb", "(a)"}) {
+  for (const char* name :
+       {"", "Transfer-E\xa4-coding", "a b", "a:", "a\t", "a\r\nb", "(a)"}) {
     BOOST_TEST(!IsToken(name));
   }
 }
