--- a/include/basilhoist/knowledge/peer_table.h
+++ b/include/basilhoist/knowledge/peer_table.h
@@ -1,6 +1,7 @@
 // Instances that this one knows of, apart from how it hears of them.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
--- a/tests/object_store_test.cc
+++ b/tests/object_store_test.cc
@@ -23,7 +23,7 @@
 // A store that gives one answer to every call.
 class one_answer {
  public:
-  one_answer(int status, std::string body)
+  one_answer(int status, const std::string& body)
       : server_(loop_, {.address = "127.0.0.1", .port = port_},
                 [status, body](const auto& exchange) {
                   exchange->Reply({.status = status, .body = body});
--- a/tests/server_directory_test.cc
+++ b/tests/server_directory_test.cc
@@ -1,7 +1,11 @@
 // Which backend servers may be used, as entries come, change and vanish.
 #include "basilhoist/directory/server_directory.h"
 
+#include <rapidcheck/boost_test.h>
+
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <map>
 
 namespace basilhoist {
 namespace {
@@ -128,6 +132,55 @@
   BOOST_TEST(Usable(directory) == 1U);
 }
 
+// Entries that come, drain, restart, move and vanish, in any order and at any
+// time, as they are seen through snapshots that lack what was in between.
+RC_BOOST_PROP(OnlyServersThatMayTakeWorkAreUsable, ()) {
+  server_directory directory;
+  std::map<std::string, backend_server> entries;
+  instant now = kStart;
+  const auto steps =
+      *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 6));
+  for (const int step : steps) {
+    const std::string id(1, static_cast<char>('a' + *rc::gen::inRange(0, 4)));
+    const instant before = now;
+    now = now + milliseconds(*rc::gen::inRange(1, 900));
+    if (step == 0) {
+      entries[id] = Server(id);
+    } else if (step == 1 && entries.contains(id)) {
+      entries[id].draining = true;
+    } else if (step == 2 && entries.contains(id)) {
+      entries[id] = Server(id, entries[id].started_at_ms + 1);
+    } else if (step == 3 && entries.contains(id)) {
+      directory.TakeLast({entries[id]});
+      entries.erase(id);
+    }
+    std::vector<backend_server> listed;
+    for (const auto& [name, each] : entries) listed.push_back(each);
+    directory.Apply(listed, now, before);
+    directory.Expire(now);
+    for (const auto& each : directory.Of("s")) {
+      if (!directory.MayUse(*each)) continue;
+      const auto entry = entries.find(each->info.id);
+      if (entry == entries.end()) {
+        // Kept for the grace, and only if it had not said that it leaves.
+        RC_ASSERT(each->missing && !each->info.draining);
+        RC_ASSERT(now - each->missing_since < server_directory::kLapseGrace);
+      } else {
+        RC_ASSERT(each->info == entry->second);
+      }
+    }
+    // Whoever is listed is there, and usable unless it drains.
+    const auto& known = directory.Of("s");
+    for (const backend_server& each : listed) {
+      RC_ASSERT(std::any_of(known.begin(), known.end(),
+                            [&](const listed_server_ptr& server) {
+                              return server->info == each &&
+                                     directory.MayUse(*server) != each.draining;
+                            }));
+    }
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(ARestartUnderTheSameIdIsAnotherServer, fixture) {
   directory.Apply({Server("a", 1)}, kStart);
   const auto before = directory.Of("s").front();
