A listing that is under way is not begun anew

Ruled out: the grace (no entry was dropped there before 13.5 s). Change: while a listing is under way or failed, what a peer has is fetched from the peer; the decision is a function of its own (DecideOnLead). Tests: AListingUnderWayIsNotBegunAnew, red with the old rule; and a process test of a router that is cut silently while changes go on, which was not red with the old program (its lists came through in 9 s of changes), kept as a bound.

--- a/include/basilhoist/knowledge/feed_state.h
+++ b/include/basilhoist/knowledge/feed_state.h
@@ -63,6 +63,9 @@
   /// @return whether a snapshot was ever taken
   [[nodiscard]] bool Known() const { return known_; }
 
+  /// @return whether a listing is under way
+  [[nodiscard]] bool Listing() const { return listing_; }
+
   /// @return whether the store answered the last call
   [[nodiscard]] bool Healthy() const { return failures_ == 0; }
 
--- a/include/basilhoist/knowledge/lead_tracker.h
+++ b/include/basilhoist/knowledge/lead_tracker.h
@@ -16,6 +16,24 @@
   [[nodiscard]] bool Ahead() const { return theirs > ours && !same_content; }
 };
 
+/// How this instance's own feed stands when a peer tells what it holds.
+struct feed_standing {
+  bool known = false;    ///< It holds a snapshot.
+  bool healthy = false;  ///< The store answered its last call.
+  bool listing = false;  ///< A listing is under way.
+};
+
+/// What to do about a peer's state.
+enum class lead_action : std::uint8_t {
+  kNothing,
+  kFetch,      ///< Take what changed from the peer.
+  kListAgain,  ///< The watch hangs: ask the store by another call.
+};
+
+/// @param ahead whether the peer knows more
+/// @param overdue whether a change that some peer has is overdue
+lead_action DecideOnLead(const feed_standing& own, bool ahead, bool overdue);
+
 /// Finds a watch that hangs: the store answers other calls, but changes that a
 /// peer has seen do not come.
 class lead_tracker {
--- a/src/knowledge/object_feed.cc
+++ b/src/knowledge/object_feed.cc
@@ -63,7 +63,8 @@
       .With("kind", kind_)
       .With("revision", offered.revision);
   Changed();
-  Restart();
+  // A listing goes on, so that a store which does not answer is noticed.
+  if (!state_.Listing()) Restart();
 }
 
 void object_feed::ListAgain() {
--- a/src/router/knowledge.cc
+++ b/src/router/knowledge.cc
@@ -192,14 +192,22 @@
                        .theirs = theirs.revision,
                        .same_content = theirs.digest == feed->Digest()};
   const bool overdue = leads_[theirs.kind].OnPeer(told, Now());
-  if (!ours.Known() || (!ours.Healthy() && told.Ahead())) {
-    Fetch(theirs.kind, fetch_address);
-  } else if (overdue && ours.Healthy()) {
-    event_line("knowledge", "watch_behind_peer")
-        .With("kind", theirs.kind)
-        .With("revision", told.ours)
-        .With("peer_revision", told.theirs);
-    feed->ListAgain();
+  const feed_standing own{.known = ours.Known(),
+                          .healthy = ours.Healthy(),
+                          .listing = ours.Listing()};
+  switch (DecideOnLead(own, told.Ahead(), overdue)) {
+    case lead_action::kNothing:
+      return;
+    case lead_action::kFetch:
+      Fetch(theirs.kind, fetch_address);
+      return;
+    case lead_action::kListAgain:
+      event_line("knowledge", "watch_behind_peer")
+          .With("kind", theirs.kind)
+          .With("revision", told.ours)
+          .With("peer_revision", told.theirs);
+      feed->ListAgain();
+      return;
   }
 }
 
--- a/tests/lead_tracker_test.cc
+++ b/tests/lead_tracker_test.cc
@@ -29,6 +29,21 @@
   BOOST_TEST(!tracker.OnPeer(kAhead, kStart + milliseconds(820)));
 }
 
+// scale-2 of quetzal: a router that the store did not answer began its listing
+// anew each second, so that none failed and nothing was taken from peers.
+BOOST_AUTO_TEST_CASE(AListingUnderWayIsNotBegunAnew) {
+  const feed_standing lists{.known = true, .healthy = true, .listing = true};
+  BOOST_TEST((DecideOnLead(lists, true, true) == lead_action::kFetch));
+  BOOST_TEST((DecideOnLead(lists, false, true) == lead_action::kNothing));
+  const feed_standing watches{.known = true, .healthy = true};
+  BOOST_TEST((DecideOnLead(watches, true, false) == lead_action::kNothing));
+  BOOST_TEST((DecideOnLead(watches, true, true) == lead_action::kListAgain));
+  const feed_standing fails{.known = true};
+  BOOST_TEST((DecideOnLead(fails, true, false) == lead_action::kFetch));
+  BOOST_TEST((DecideOnLead(fails, false, true) == lead_action::kNothing));
+  BOOST_TEST((DecideOnLead({}, false, false) == lead_action::kFetch));
+}
+
 BOOST_AUTO_TEST_CASE(AWatchThatBringsTheChangeIsNotOverdue) {
   lead_tracker tracker;
   BOOST_TEST(!tracker.OnPeer(kAhead, kStart));
--- a/tests/platform_path_test.py
+++ b/tests/platform_path_test.py
@@ -11,6 +11,7 @@
 import platform_rig
 
 CONFIG_BOUND_S = 3.0  # a version is in force everywhere within this
+HEARD_BOUND_S = 6.0  # also at a router that the store does not answer
 LEAVE_BOUND_S = 0.5  # work for a caller that has left ends within this
 
 
@@ -133,6 +134,20 @@
         self.wait_in_force(version, range(self.rig.count), 6)
         self.rig.store.cut.clear()
 
+    def test_a_router_cut_silently_hears_of_changes_that_go_on(self):
+        """Quetzal's scale-2: each lead of a peer began the listing anew."""
+        self.rig.store.cut.add(self.rig.router_address(0))
+        published = []
+        began = time.monotonic()
+        while time.monotonic() - began < 9:
+            published.append((time.monotonic(), self.rig.publish()))
+            time.sleep(0.4)
+            old_enough = [version for at, version in published
+                          if time.monotonic() - at > HEARD_BOUND_S]
+            if old_enough:
+                self.assertGreaterEqual(self.in_force(0), old_enough[-1])
+        self.rig.store.cut.clear()
+
     def abort_store_connections(self):
         for writer in list(self.rig.store.writers):
             writer.transport.abort()
