--- a/scripts/platform_rig.py
+++ b/scripts/platform_rig.py
@@ -6,8 +6,10 @@
 """
 
 import asyncio
+import dataclasses
 import hashlib
 import json
+import math
 import os
 import pathlib
 import random
@@ -177,8 +179,20 @@
                 pass
 
 
-# A request with this in its target ends the server that takes it.
+# A request with this in its target ends each server that begins to run it.
 POISON = "poison"
+# An entry lapses after three status reports that did not come.
+LAPSE_S = 3 * HEARTBEAT_MS / 1000
+
+
+@dataclasses.dataclass(frozen=True)
+class Crashes:
+    """How servers end on a request with POISON in its target."""
+
+    back_s: float = math.inf  # until they listen again
+    same_id: bool = False  # the next run has the same id
+    close: bool = False  # connections end in order instead of with a reset
+    run_ms: float = 2  # from the begin of the request to the end
 
 
 class Backend:
@@ -213,9 +227,42 @@
     async def stop(self):
         self.server.close()
         for writer in list(self.writers):
-            writer.transport.abort()
+            if self.rig.crashes.close:
+                writer.close()
+            else:
+                writer.transport.abort()
         await self.server.wait_closed()
 
+    async def _crash(self, request_id):
+        """Ends as a process does; its entry lapses, and it may come back."""
+        if self.crashed:
+            return
+        self.crashed = True
+        self.rig.crash_log.append((time.monotonic(), self.id, request_id))
+        await self.stop()
+        self.rig.later(LAPSE_S, self._lapse)
+        if math.isfinite(self.rig.crashes.back_s):
+            self.rig.later(self.rig.crashes.back_s, self._come_back)
+
+    async def _lapse(self):
+        if self.crashed:
+            self.rig.store.remove("servers", self.id)
+
+    async def _come_back(self):
+        next_run = self
+        if not self.rig.crashes.same_id:
+            name = f"{self.id.partition('+')[0]}+{len(self.rig.crash_log)}"
+            next_run = Backend(self.rig, name, self.service, self.address,
+                               self.zone, self.slots, self.work_ms)
+            del self.rig.backends[self.id]
+            self.rig.backends[name] = next_run
+        next_run.crashed = False
+        next_run.running = 0
+        next_run.free = asyncio.Semaphore(self.slots)
+        next_run.born = max(self.born + 1, int(time.time() * 1000))
+        next_run.sequence = 0
+        await next_run.start()
+
     def enter(self):
         self.sequence += 1
         self.rig.store.put("servers", self.id, {
@@ -238,10 +285,6 @@
         self.writers.add(writer)
         try:
             while (request := await read_request(reader)) is not None:
-                if POISON in request[1]:
-                    self.crashed = True
-                    await self.stop()
-                    break
                 if not await self._handle(reader, writer, *request):
                     break
         except (ConnectionError, asyncio.CancelledError):
@@ -262,6 +305,10 @@
                 *echo, ("Basilhoist-Not-Executed", "1")]))
             return True
         self.running += 1
+        if POISON in target:
+            await asyncio.sleep(self.rig.crashes.run_ms / 1000)
+            await self._crash(request_id)
+            return False
         work = asyncio.ensure_future(self._work(request_id))
         gone = asyncio.ensure_future(self._closed(reader))
         await asyncio.wait([work, gone], return_when=asyncio.FIRST_COMPLETED)
@@ -311,7 +358,9 @@
     HOST = "rig.example"
 
     def __init__(self, logs, routers=4, shards=6, replicas=2, singles=3,
-                 work_ms=10, seed=1, top=10, zones=4):
+                 work_ms=10, seed=1, top=10, zones=4, crashes=Crashes()):
+        self.crashes = crashes
+        self.crash_log = []  # (time, server, request id)
         self.server_zones = self.ZONES[:zones]
         self.logs = pathlib.Path(logs)
         self.random = random.Random(seed)
@@ -323,6 +372,7 @@
         self.top = top
         self.shape = (shards, replicas, singles, work_ms)
         self.backends = {}
+        self.tasks = set()
         self.loop = asyncio.new_event_loop()
         self.store_listener = None
         self.thread = threading.Thread(target=self._run_loop, daemon=True)
@@ -362,6 +412,14 @@
             STORE_PORT)
         return store
 
+    def later(self, delay_s, work):
+        """Runs a coroutine function in the rig's loop after a delay."""
+        async def run():
+            await asyncio.sleep(delay_s)
+            await work()
+        self.tasks.add(task := asyncio.ensure_future(run()))
+        task.add_done_callback(self.tasks.discard)
+
     # Backend servers.
 
     async def _add_backend(self, name, service, number, slots, work_ms):
