Logs and counters that tell crashes of servers from other breaks

The hypotheses could not be told apart from logs: a refused connection and one that timed out were one fault, no line named what two requests have in common, and a break that nobody confirmed left no trace.

Added: fault 'refused' beside 'not_connected' (handled alike as before), the fingerprint in send_failed and gate/refused, and the counters broken_in_run, crashes_confirmed and breaks_unconfirmed. No decision is changed. ARefusedConnectionSendsNothing asks for the narrower fault now.

--- a/include/basilhoist/backend/backend_reply.h
+++ b/include/basilhoist/backend/backend_reply.h
@@ -13,7 +13,8 @@
 /// What went wrong on the connection.
 enum class exchange_fault : std::uint8_t {
   kNone,          ///< A whole reply arrived.
-  kNotConnected,  ///< No connection stood; nothing was sent.
+  kNotConnected,  ///< No connection stood in time; nothing was sent.
+  kRefused,       ///< Nothing listens at the address; nothing was sent.
   kBroken,        ///< The connection ended before the reply was whole.
   kGarbled,       ///< What arrived is not a reply in the protocol.
 };
--- a/include/basilhoist/dispatch/crash_guard.h
+++ b/include/basilhoist/dispatch/crash_guard.h
@@ -29,7 +29,8 @@
                                    std::string_view body);
 
   /// A connection broke while a server ran the request.
-  void OnBroken(std::uint64_t fingerprint, std::uint64_t server, instant now);
+  /// @return earlier breaks that stay unconfirmed
+  std::size_t OnBroken(std::uint64_t fingerprint, std::uint64_t server, instant now);
 
   /// A server refused a connection: it is down.
   /// @return whether this is news of a request that crashed it
--- a/include/basilhoist/dispatch/dispatcher.h
+++ b/include/basilhoist/dispatch/dispatcher.h
@@ -59,6 +59,10 @@
   std::uint64_t second_sends = 0;
   std::uint64_t retries = 0;
   std::uint64_t budget_refusals = 0;
+  /// Connections that broke while a server ran a request.
+  std::uint64_t broken_in_run = 0;
+  std::uint64_t crashes_confirmed = 0;
+  std::uint64_t breaks_unconfirmed = 0;
 };
 
 /// Shared state of sends; requests come and go.
--- a/src/backend/backend_connection.cc
+++ b/src/backend/backend_connection.cc
@@ -78,7 +78,8 @@
     socklen_t size = sizeof error;
     getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size);
     if (error != 0) {
-      Fail(exchange_fault::kNotConnected);
+      Fail(error == ECONNREFUSED ? exchange_fault::kRefused
+                                 : exchange_fault::kNotConnected);
       return;
     }
     loop.Cancel(connect_timer);
--- a/src/backend/backend_reply.cc
+++ b/src/backend/backend_reply.cc
@@ -11,6 +11,8 @@
       return "none";
     case exchange_fault::kNotConnected:
       return "not_connected";
+    case exchange_fault::kRefused:
+      return "refused";
     case exchange_fault::kBroken:
       return "broken";
     case exchange_fault::kGarbled:
--- a/src/dispatch/crash_guard.cc
+++ b/src/dispatch/crash_guard.cc
@@ -20,12 +20,13 @@
   return Mix(body, Mix(target, Mix(method, 0)));
 }
 
-void crash_guard::OnBroken(std::uint64_t fingerprint, std::uint64_t server,
-                           instant now) {
-  std::erase_if(losses_, [now](const loss& each) {
-    return now - each.at > kConfirmWithin;
-  });
+std::size_t crash_guard::OnBroken(std::uint64_t fingerprint,
+                                  std::uint64_t server, instant now) {
+  const std::size_t unconfirmed = std::erase_if(
+      losses_,
+      [now](const loss& each) { return now - each.at > kConfirmWithin; });
   losses_.push_back({.fingerprint = fingerprint, .server = server, .at = now});
+  return unconfirmed;
 }
 
 bool crash_guard::OnRefused(std::uint64_t server, instant now) {
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -95,9 +95,13 @@
     server.cold_until = std::max(server.cold_until, now + settings.warmup);
   }
   if (reply.fault == exchange_fault::kBroken && reply.sent) {
-    crashes.OnBroken(fingerprint, server.info.RunHash(), now);
-  } else if (reply.fault == exchange_fault::kNotConnected &&
+    ++counts.broken_in_run;
+    counts.breaks_unconfirmed +=
+        crashes.OnBroken(fingerprint, server.info.RunHash(), now);
+  } else if ((reply.fault == exchange_fault::kNotConnected ||
+              reply.fault == exchange_fault::kRefused) &&
              crashes.OnRefused(server.info.RunHash(), now)) {
+    ++counts.crashes_confirmed;
     event_line("call", "server_crashed")
         .With("server", server.info.id)
         .With("fingerprint", fingerprint);
--- a/src/dispatch/service_call.cc
+++ b/src/dispatch/service_call.cc
@@ -255,6 +255,7 @@
       .With("outcome", Name(outcome))
       .With("fault", Name(reply.fault))
       .With("status", reply.status)
+      .With("fingerprint", request_->fingerprint)
       .With("after_ms", ToMilliseconds(Now() - ended.since));
   if (SurelyNotRun(outcome)) {
     tried_.erase(ended.server);
--- a/src/router/request_gate.cc
+++ b/src/router/request_gate.cc
@@ -82,6 +82,11 @@
                      });
 }
 
+std::uint64_t FingerprintOf(const http_exchange& exchange) {
+  return crash_guard::Fingerprint(exchange.Method(), exchange.Target(),
+                                  exchange.Body());
+}
+
 }  // namespace
 
 void request_gate::Take(const std::shared_ptr<http_exchange>& exchange) {
@@ -97,6 +102,7 @@
               exchange->Header(shared_.options.names.request_id.c_str()))
         .With("cause", refused->cause)
         .With("status", refused->reply.status)
+        .With("fingerprint", FingerprintOf(*exchange))
         .With("version", table ? table->Version() : 0);
     exchange->Reply(std::move(refused->reply));
     return;
@@ -133,8 +139,7 @@
     return refusal{FailureReply(kBadRequest, "The request has no id."),
                    "no_request_id"};
   }
-  if (shared_.crashes.Refuses(crash_guard::Fingerprint(
-          exchange.Method(), exchange.Target(), exchange.Body()))) {
+  if (shared_.crashes.Refuses(FingerprintOf(exchange))) {
     return refusal{NotRunReply(names, kRetryAfterCrashes,
                                "Servers crashed on this request; it has not "
                                "run."),
@@ -167,8 +172,7 @@
   outbound->is_head_method = exchange->Method() == "HEAD";
   outbound->request_id = exchange->Header(names.request_id.c_str());
   outbound->route_name = matched.name;
-  outbound->fingerprint = crash_guard::Fingerprint(
-      exchange->Method(), exchange->Target(), exchange->Body());
+  outbound->fingerprint = FingerprintOf(*exchange);
   outbound->idempotent = matched.idempotent;
   outbound->max_attempts = matched.max_attempts;
   outbound->objective = matched.objective;
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -229,6 +229,9 @@
         {"second_sends", sends.second_sends},
         {"retries", sends.retries},
         {"budget_refusals", sends.budget_refusals},
+        {"broken_in_run", sends.broken_in_run},
+        {"crashes_confirmed", sends.crashes_confirmed},
+        {"breaks_unconfirmed", sends.breaks_unconfirmed},
         {"connections_opened", pool.Opened()},
         {"store_calls", known.StoreCalls()}};
     std::vector<prometheus::MetricFamily> families = registry.Collect();
--- a/tests/backend_connection_test.cc
+++ b/tests/backend_connection_test.cc
@@ -121,7 +121,7 @@
     loop.Stop();
   });
   loop.Run();
-  BOOST_TEST((ended.fault == exchange_fault::kNotConnected));
+  BOOST_TEST((ended.fault == exchange_fault::kRefused));
   BOOST_TEST(!ended.sent);
 }
 
--- a/tests/dispatch_policy_test.cc
+++ b/tests/dispatch_policy_test.cc
@@ -137,6 +137,7 @@
       (judge({.status = 503, .headers = {{"X-Not-Run", "1"}}}) == kShed));
   BOOST_TEST((judge({.status = 421}) == kWrongServer));
   BOOST_TEST((judge({.fault = exchange_fault::kNotConnected}) == kNeverSent));
+  BOOST_TEST((judge({.fault = exchange_fault::kRefused}) == kNeverSent));
   BOOST_TEST(
       (judge({.fault = exchange_fault::kBroken, .sent = true}) == kUnclear));
   BOOST_TEST(
