A crash is confirmed by a check of its own, not by a later request

What callers saw: a request went on to end servers after the third.

Cause: a broken send counted only if the same router happened to be refused a connection by that server within two seconds. A connection that timed out counted as refused.

Change: a router that loses a send in the middle connects to the server at once and after 200 ms (crash_confirmer, listen_check). A refusal, or the list of servers naming another run or none, proves the end of the run. Sends that stay unanswered count like those that break.

That blames more requests, so blame has to be right: a request that a server answers is not crashed by it. crash_guard keeps runs and answers by service; a request without any answer is refused everywhere, one that some services answer only by the service whose servers it ends.

--- a/include/basilhoist/backend/backend_pool.h
+++ b/include/basilhoist/backend/backend_pool.h
@@ -24,6 +24,7 @@
                      backend_request request, reply_handler done) override;
   [[nodiscard]] bool HasRoom(const listed_server& server,
                              unsigned most) const override;
+  void Check(const listed_server& server, listen_check::handler done) override;
   void Abandon(std::uint64_t id) override;
 
   /// Closes idle connections to a server that is gone; busy ones close when
@@ -59,6 +60,7 @@
     std::uint64_t number = 0;
   };
   std::unordered_map<std::uint64_t, place> requests_;
+  std::unordered_map<std::uint64_t, std::unique_ptr<listen_check>> checks_;
   std::uint64_t last_id_ = 0;
   std::uint64_t opened_ = 0;
 };
--- /dev/null
+++ b/include/basilhoist/backend/listen_check.h
@@ -0,0 +1,42 @@
+// Finds out whether a process listens at an address, without a request.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+
+#include "basilhoist/link/frame_link.h"
+#include "basilhoist/loop/event_loop.h"
+
+namespace basilhoist {
+
+/// What an attempt to connect tells.
+enum class listen_state : std::uint8_t {
+  kListens,  ///< A connection stood; it is closed again.
+  kRefuses,  ///< The host answered that nothing listens.
+  kUnclear,  ///< No answer in time, or the host cannot be reached.
+};
+
+/// One attempt to connect. Ends early without its handler when destroyed.
+class listen_check {
+ public:
+  using handler = std::function<void(listen_state)>;
+
+  /// @param done called once, never from inside the constructor
+  listen_check(event_loop& loop, const endpoint& to, handler done);
+  ~listen_check();
+  listen_check(const listen_check&) = delete;
+  listen_check& operator=(const listen_check&) = delete;
+
+ private:
+  void OnConnected();
+  void End(listen_state result);
+  void Close();
+
+  event_loop& loop_;
+  handler done_;
+  fd_watch watch_;
+  int fd_;
+  timer_id timer_ = 0;
+};
+
+}  // namespace basilhoist
--- a/include/basilhoist/backend/request_sender.h
+++ b/include/basilhoist/backend/request_sender.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "basilhoist/backend/backend_reply.h"
+#include "basilhoist/backend/listen_check.h"
 #include "basilhoist/directory/server_directory.h"
 
 namespace basilhoist {
@@ -44,6 +45,11 @@
   [[nodiscard]] virtual bool HasRoom(const listed_server& server,
                                      unsigned most) const = 0;
 
+  /// Finds out whether the server's process still listens; sends nothing.
+  /// @param done called once, never from inside Check
+  virtual void Check(const listed_server& server,
+                     listen_check::handler done) = 0;
+
   /// Closes the request's connection; its handler does not run.
   virtual void Abandon(std::uint64_t id) = 0;
 };
--- /dev/null
+++ b/include/basilhoist/dispatch/crash_confirmer.h
@@ -0,0 +1,38 @@
+// Asks whether a server that broke off in the middle of a request has ended.
+#pragma once
+
+#include <array>
+#include <functional>
+#include <set>
+
+#include "basilhoist/backend/request_sender.h"
+#include "basilhoist/loop/event_loop.h"
+
+namespace basilhoist {
+
+/// Checks each server that lost a send, whether or not other requests go there.
+class crash_confirmer {
+ public:
+  /// Since the loss. The second check finds a process that closed its
+  /// connections before it stopped to listen.
+  static constexpr std::array<milliseconds, 2> kChecks{milliseconds(0),
+                                                       milliseconds(200)};
+
+  /// @param on_ended called with a server whose address refuses connections
+  crash_confirmer(event_loop& loop, request_sender& sender,
+                  std::function<void(const listed_server&)> on_ended)
+      : loop_(loop), sender_(sender), on_ended_(std::move(on_ended)) {}
+
+  /// A send to the server was lost.
+  void OnLost(const listed_server_ptr& server);
+
+ private:
+  void Check(const listed_server_ptr& server, std::size_t number);
+
+  event_loop& loop_;
+  request_sender& sender_;
+  std::function<void(const listed_server&)> on_ended_;
+  std::set<std::uint64_t> checking_;  // keys of servers
+};
+
+}  // namespace basilhoist
--- a/include/basilhoist/dispatch/crash_guard.h
+++ b/include/basilhoist/dispatch/crash_guard.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <memory>
 #include <set>
 #include <string_view>
 #include <vector>
@@ -12,52 +14,111 @@
 
 namespace basilhoist {
 
-/// Blames a request only for servers that were lost while they ran it: the
-/// connection broke, and the next one was refused.
+/// Services that have answered one request.
+struct request_answers {
+  std::vector<std::uint64_t> services;  ///< Hashes of their names.
+};
+
+/// A send that ended without a reply although the server may have run it.
+struct lost_send {
+  std::uint64_t fingerprint = 0;
+  std::uint64_t service = 0;  ///< Hash of its name.
+  std::uint64_t server = 0;   ///< Hash of the server's run.
+  std::shared_ptr<const request_answers> request;
+
+  bool operator==(const lost_send&) const = default;
+};
+
+/// What a proof or a peer's report has changed.
+struct crash_news {
+  /// Fingerprints with a run more that counts; peers should hear of it now.
+  std::vector<std::uint64_t> blamed;
+  /// Fingerprints that are refused from now on, by one service at least.
+  std::vector<std::uint64_t> refused;
+
+  bool operator==(const crash_news&) const = default;
+};
+
+/// Blames a request for a server only if a send of it was lost there and the
+/// server's run is known to have ended. A server that answers a request is not
+/// crashed by it, so an answer clears the request of blame.
 class crash_guard {
  public:
-  /// Servers that a request must have crashed before it is refused.
+  /// Runs of servers that a request must have ended before it is refused.
   static constexpr std::size_t kCrashes = 3;
-  /// A server refuses connections this soon after a crash, if at all.
-  static constexpr milliseconds kConfirmWithin{2000};
+  /// A run's end is known so long after the loss at the latest: its entry
+  /// lapses after three reports, and is kept for a grace after that.
+  static constexpr milliseconds kProofWithin{10000};
   /// A request is forgotten when it has crashed nothing for so long.
   static constexpr milliseconds kForgetAfter{120000};
+  /// Lost sends kept for proof; the oldest ones make room.
+  static constexpr std::size_t kMostLosses = 4096;
 
   /// @return what requests of the same target and body have in common
   static std::uint64_t Fingerprint(std::string_view method,
                                    std::string_view target,
                                    std::string_view body);
 
-  /// A connection broke while a server ran the request.
-  /// @return earlier breaks that stay unconfirmed
-  std::size_t OnBroken(std::uint64_t fingerprint, std::uint64_t server, instant now);
+  /// @return the hash of a service's name
+  static std::uint64_t ServiceHash(std::string_view service);
 
-  /// A server refused a connection: it is down.
-  /// @return whether this is news of a request that crashed it
-  bool OnRefused(std::uint64_t server, instant now);
+  void OnLost(lost_send loss, instant now);
+
+  /// A server of the service answered the request.
+  void OnAnswer(std::uint64_t fingerprint, std::uint64_t service);
+
+  /// A run of a server has ended without having been asked to.
+  crash_news OnEnded(std::uint64_t server, instant now);
 
   /// A peer's reports.
-  void Merge(const std::vector<suspect_report>& reports, instant now);
+  crash_news Merge(const std::vector<suspect_report>& reports, instant now);
 
-  /// @return whether the request must not be sent any more
+  /// @return whether the request must be sent to no service any more
   [[nodiscard]] bool Refuses(std::uint64_t fingerprint) const;
 
-  /// @return what peers should know
+  /// @return whether the request must not be sent to the service any more
+  [[nodiscard]] bool Refuses(std::uint64_t fingerprint,
+                             std::uint64_t service) const;
+
+  /// @return what peers should know, as much as one message carries; what is
+  ///   left out comes first in a later one
   [[nodiscard]] std::vector<suspect_report> Reports(instant now);
 
+  /// @return requests that are refused now
+  [[nodiscard]] std::size_t RefusedCount() const;
+
  private:
   struct loss {
-    std::uint64_t fingerprint = 0;
-    std::uint64_t server = 0;
+    lost_send send;
     instant at;
   };
+  // What a request has done at one service.
+  struct service_record {
+    std::set<std::uint64_t> ended;  // runs of servers
+    bool answered = false;
+  };
   struct suspect {
-    std::set<std::uint64_t> servers;
-    instant last;
+    std::map<std::uint64_t, service_record> services;
+    bool answered = false;  // by any service
+    instant last;           // when it was last blamed
+    std::uint64_t told = 0;
+
+    [[nodiscard]] std::size_t Ended() const;
+    [[nodiscard]] bool RefusedAt(const service_record& record) const;
+    [[nodiscard]] bool RefusedEverywhere() const;
+    [[nodiscard]] bool Refused() const;
   };
 
-  std::vector<loss> losses_;  // not confirmed yet
+  static void Blame(std::uint64_t fingerprint, suspect& blamed,
+                    std::uint64_t service, std::uint64_t server,
+                    crash_news& news);
+  void Forget(instant now);
+  static suspect_report ReportOf(std::uint64_t fingerprint,
+                                 const suspect& blamed, instant now);
+
+  std::deque<loss> losses_;  // no proof yet, oldest first
   std::map<std::uint64_t, suspect> suspects_;
+  std::uint64_t messages_ = 0;
 };
 
 }  // namespace basilhoist
--- a/include/basilhoist/dispatch/dispatcher.h
+++ b/include/basilhoist/dispatch/dispatcher.h
@@ -9,6 +9,7 @@
 #include "basilhoist/backend/request_sender.h"
 #include "basilhoist/directory/server_directory.h"
 #include "basilhoist/dispatch/cold_gate.h"
+#include "basilhoist/dispatch/crash_confirmer.h"
 #include "basilhoist/dispatch/crash_guard.h"
 #include "basilhoist/dispatch/header_names.h"
 #include "basilhoist/dispatch/retry_budget.h"
@@ -61,8 +62,10 @@
   std::uint64_t budget_refusals = 0;
   /// Connections that broke while a server ran a request.
   std::uint64_t broken_in_run = 0;
+  /// Servers that are known to have ended while they ran a request.
   std::uint64_t crashes_confirmed = 0;
-  std::uint64_t breaks_unconfirmed = 0;
+  /// Sends that were not made because the request crashes servers.
+  std::uint64_t contained = 0;
 };
 
 /// Shared state of sends; requests come and go.
@@ -74,7 +77,10 @@
         sender(the_sender),
         directory(the_directory),
         options(std::move(the_options)),
-        random(options.seed) {}
+        random(options.seed),
+        confirmer(the_loop, the_sender, [this](const listed_server& server) {
+          OnServerEnded(server.info, "refused");
+        }) {}
 
   /// @return the service's settings in the newest table, or defaults
   [[nodiscard]] service_settings SettingsOf(const std::string& service) const;
@@ -90,9 +96,16 @@
   [[nodiscard]] bool TooCold(const listed_server& server, instant now) const;
 
   /// A send to the server has ended; keeps what it tells of the server.
-  void OnSendEnd(listed_server& server, std::uint64_t fingerprint,
+  void OnSendEnd(const listed_server_ptr& server, const lost_send& send,
                  const backend_reply& reply, instant now);
 
+  /// A server's run has ended without having been asked to.
+  /// @param proof how that is known, for logs
+  void OnServerEnded(const backend_server& server, std::string_view proof);
+
+  /// Peers have told of requests that crash servers.
+  void OnSuspects(const std::vector<suspect_report>& reports);
+
   /// @return connections that this instance may have to one server
   [[nodiscard]] unsigned ConnectionsTo(const std::string& service) const;
 
@@ -115,6 +128,9 @@
   server_stats stats;
   cold_gate cold;
   crash_guard crashes;
+  crash_confirmer confirmer;
+  /// Peers should hear now what crashes.Reports tells.
+  std::function<void()> on_crash_news = [] {};
   std::map<std::string, retry_budget> budgets;
   std::map<std::string, route_timing> timings;
   dispatch_counts counts;
--- a/include/basilhoist/dispatch/service_call.h
+++ b/include/basilhoist/dispatch/service_call.h
@@ -22,6 +22,9 @@
   std::string route_name;
   /// The same for all requests of one target and body.
   std::uint64_t fingerprint = 0;
+  /// Shared by the calls of the request.
+  std::shared_ptr<request_answers> answers =
+      std::make_shared<request_answers>();
   bool idempotent = false;
   unsigned max_attempts = 1;
   /// Failure domain of the relay that has the request, if one has. The relay
@@ -44,6 +47,8 @@
   /// When it may be worth to come back, where it has not run.
   microseconds retry_after{0};
   unsigned sends = 0;
+  /// Nothing more was sent because the request crashes servers.
+  bool contained = false;
 };
 
 /// Sends to one server of the service, and to others where that helps.
@@ -79,7 +84,7 @@
   struct send {
     std::uint64_t number = 0;  // of this call, from 1
     std::uint64_t id = 0;      // of the sender
-    std::uint64_t server = 0;
+    listed_server_ptr server;
     std::uint64_t stats_key = 0;
     bool extra = false;  // counted in the retry budget
     instant since;
@@ -97,11 +102,13 @@
   void Finish(call_result result);
   void Linger();
   void Drop(const send& each);
+  [[nodiscard]] lost_send LostAt(const listed_server& server) const;
   [[nodiscard]] std::string HeadFor(const listed_server& server) const;
 
   dispatcher& shared_;
   std::shared_ptr<const outbound_request> request_;
   std::string service_;
+  std::uint64_t service_hash_;
   done_handler done_;
   std::vector<send> in_flight_;
   std::set<std::uint64_t> tried_;  // servers that may have run it
--- a/include/basilhoist/knowledge/peer_exchange.h
+++ b/include/basilhoist/knowledge/peer_exchange.h
@@ -19,6 +19,9 @@
   milliseconds period{500};
   /// Peers told in one round, drawn at random where there are more.
   std::size_t fanout = 3;
+  /// Peers told at once of news. Whoever hears it for the first time tells as
+  /// many, so that four steps reach several thousand peers.
+  std::size_t news_fanout = 9;
   std::uint64_t seed = 1;
 };
 
@@ -43,6 +46,9 @@
   /// Tells all peers at once, since something has changed.
   void TellAll();
 
+  /// Tells several peers at once, later in this turn.
+  void TellNews();
+
   [[nodiscard]] const peer_table& Peers() const { return peers_; }
 
   /// @return what peers told last, of those that were heard lately
@@ -59,6 +65,7 @@
   handlers on_;
   peer_table peers_;
   pcg32 random_;
+  bool news_waits_ = false;
   datagram_socket socket_;
 };
 
--- a/include/basilhoist/link/messages.h
+++ b/include/basilhoist/link/messages.h
@@ -165,10 +165,21 @@
   bool operator==(const held_snapshot&) const = default;
 };
 
-/// A request that was in flight at servers when they broke off.
+/// Servers of one service that ended while they ran a request.
+struct suspect_service {
+  std::uint64_t service = 0;           ///< Hash of its name.
+  bool answered = false;               ///< One of its servers answered it.
+  std::vector<std::uint64_t> servers;  ///< Hashes of the servers' runs.
+
+  bool operator==(const suspect_service&) const = default;
+};
+
+/// A request that was in flight at servers when they ended.
 struct suspect_report {
   std::uint64_t fingerprint = 0;
-  std::vector<std::uint64_t> servers;  ///< Hashes of the servers' ids.
+  bool answered = false;      ///< By any service.
+  std::uint32_t idle_ms = 0;  ///< Since it was blamed last.
+  std::vector<suspect_service> services;
 
   bool operator==(const suspect_report&) const = default;
 };
--- a/include/basilhoist/router/knowledge.h
+++ b/include/basilhoist/router/knowledge.h
@@ -38,6 +38,10 @@
   [[nodiscard]] bool Bound() const { return peers_.Bound(); }
   void Start();
 
+  /// Tells several peers at once of what should not wait for a round; those
+  /// for whom it is news do the same.
+  void TellNews() { peers_.TellNews(); }
+
   /// Tells peers that this router is about to end.
   void Leave();
 
--- a/scripts/red.py
+++ b/scripts/red.py
@@ -10,7 +10,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 COPIED = ("CMakeLists.txt", "include", "src", "apps", "standins", "tests",
-          "benchmarks", "scripts", "examples")
+          "benchmarks", "scripts", "examples", "platform", "deploy")
 
 
 @dataclasses.dataclass
@@ -80,6 +80,24 @@
     "drained_gets_nothing": Mechanism(
         "src/instance/instance.cc", "    owner_.SetBarred(barred);\n"
         "    entry_->SetBarred(barred);", "", "chaos_test.py"),
+    "crash_asked_at_each_send": Mechanism(
+        "src/dispatch/service_call.cc",
+        "if (shared_.crashes.Refuses(request_->fingerprint, service_hash_)) {",
+        "if (false) {", "service_call_test"),
+    "crash_checked": Mechanism(
+        "src/dispatch/dispatcher.cc", "    confirmer.OnLost(server);\n", "",
+        "service_call_test"),
+    "answers_clear": Mechanism(
+        "src/dispatch/crash_guard.cc",
+        "blamed.answered = blamed.answered || !answered.empty();", "",
+        "crash_guard_test"),
+    "suspects_take_turns": Mechanism(
+        "src/dispatch/crash_guard.cc", "    blamed->told = messages_;\n", "",
+        "crash_guard_test"),
+    "relay_keeps_it_out": Mechanism(
+        "src/relay/relay_server.cc",
+        "result.sends == 0 && !result.contained", "result.sends == 0",
+        "relay_test"),
     "highest_version_wins": Mechanism(
         "src/document/document_table.cc",
         "if (offered.version <= VersionOf(offered.name)) return false;", "",
--- a/src/backend/backend_pool.cc
+++ b/src/backend/backend_pool.cc
@@ -56,6 +56,18 @@
   });
 }
 
+void backend_pool::Check(const listed_server& server,
+                         listen_check::handler done) {
+  const std::uint64_t id = ++last_id_;
+  checks_[id] = std::make_unique<listen_check>(
+      loop_, server.info.address,
+      [this, id, done = std::move(done)](listen_state found) {
+        // The check is still on the stack.
+        loop_.Post([this, id] { checks_.erase(id); });
+        done(found);
+      });
+}
+
 void backend_pool::Abandon(std::uint64_t id) {
   const auto found = requests_.find(id);
   if (found == requests_.end()) return;
--- /dev/null
+++ b/src/dispatch/crash_confirmer.cc
@@ -0,0 +1,30 @@
+#include "basilhoist/dispatch/crash_confirmer.h"
+
+namespace basilhoist {
+
+void crash_confirmer::OnLost(const listed_server_ptr& server) {
+  if (!checking_.insert(server->key).second) return;
+  Check(server, 0);
+}
+
+void crash_confirmer::Check(const listed_server_ptr& server,
+                            std::size_t number) {
+  if (number == kChecks.size() || server->gone) {
+    checking_.erase(server->key);
+    return;
+  }
+  const milliseconds wait =
+      number == 0 ? kChecks[0] : kChecks[number] - kChecks[number - 1];
+  loop_.After(wait, [this, server, number] {
+    sender_.Check(*server, [this, server, number](listen_state found) {
+      if (found != listen_state::kRefuses) {
+        Check(server, number + 1);
+        return;
+      }
+      checking_.erase(server->key);
+      on_ended_(*server);
+    });
+  });
+}
+
+}  // namespace basilhoist
--- a/src/dispatch/crash_guard.cc
+++ b/src/dispatch/crash_guard.cc
@@ -2,11 +2,16 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+#include <tuple>
+
 namespace basilhoist {
 namespace {
 
-// Reports in one datagram; more suspects at once are not expected.
-constexpr std::size_t kMostReports = 8;
+// Runs in one message, so that it fits one packet beside the peers' addresses.
+constexpr std::size_t kMostRunsTold = 40;
+// Services of one request in one message.
+constexpr std::size_t kMostServicesTold = 6;
 
 std::uint64_t Mix(std::string_view text, std::uint64_t seed) {
   return XXH64(text.data(), text.size(), seed);
@@ -20,53 +25,181 @@
   return Mix(body, Mix(target, Mix(method, 0)));
 }
 
-std::size_t crash_guard::OnBroken(std::uint64_t fingerprint,
-                                  std::uint64_t server, instant now) {
-  const std::size_t unconfirmed = std::erase_if(
-      losses_,
-      [now](const loss& each) { return now - each.at > kConfirmWithin; });
-  losses_.push_back({.fingerprint = fingerprint, .server = server, .at = now});
-  return unconfirmed;
+std::uint64_t crash_guard::ServiceHash(std::string_view service) {
+  return Mix(service, 0);
+}
+
+std::size_t crash_guard::suspect::Ended() const {
+  std::size_t ended = 0;
+  for (const auto& [service, record] : services) ended += record.ended.size();
+  return ended;
+}
+
+bool crash_guard::suspect::RefusedAt(const service_record& record) const {
+  return !record.answered && record.ended.size() >= kCrashes;
 }
 
-bool crash_guard::OnRefused(std::uint64_t server, instant now) {
-  bool news = false;
+bool crash_guard::suspect::RefusedEverywhere() const {
+  return !answered && Ended() >= kCrashes;
+}
+
+bool crash_guard::suspect::Refused() const {
+  return RefusedEverywhere() || std::any_of(services.begin(), services.end(),
+                                            [this](const auto& each) {
+                                              return RefusedAt(each.second);
+                                            });
+}
+
+void crash_guard::OnLost(lost_send loss, instant now) {
+  while (!losses_.empty() && (now - losses_.front().at > kProofWithin ||
+                              losses_.size() >= kMostLosses)) {
+    losses_.pop_front();
+  }
+  losses_.push_back({.send = std::move(loss), .at = now});
+}
+
+void crash_guard::OnAnswer(std::uint64_t fingerprint, std::uint64_t service) {
+  if (suspects_.empty()) return;
+  const auto found = suspects_.find(fingerprint);
+  if (found == suspects_.end()) return;
+  found->second.answered = true;
+  found->second.services[service].answered = true;
+}
+
+// Runs beyond those that decide are kept as well, since a peer may know others
+// of them, but nobody is in a hurry to hear of them.
+void crash_guard::Blame(std::uint64_t fingerprint, suspect& blamed,
+                        std::uint64_t service, std::uint64_t server,
+                        crash_news& news) {
+  service_record& record = blamed.services[service];
+  const auto refused = [&] {
+    return blamed.RefusedEverywhere() || blamed.RefusedAt(record);
+  };
+  const bool before = refused();
+  if (!record.ended.insert(server).second) return;
+  if (before || record.answered) return;
+  news.blamed.push_back(fingerprint);
+  if (refused()) news.refused.push_back(fingerprint);
+}
+
+crash_news crash_guard::OnEnded(std::uint64_t server, instant now) {
+  crash_news news;
   for (const loss& each : losses_) {
-    if (each.server != server || now - each.at > kConfirmWithin) continue;
-    suspect& blamed = suspects_[each.fingerprint];
-    news = blamed.servers.insert(server).second || news;
+    if (each.send.server != server || now - each.at > kProofWithin) continue;
+    suspect& blamed = suspects_[each.send.fingerprint];
     blamed.last = now;
+    const std::vector<std::uint64_t>& answered = each.send.request->services;
+    blamed.answered = blamed.answered || !answered.empty();
+    for (const std::uint64_t service : answered) {
+      if (service == each.send.service)
+        blamed.services[service].answered = true;
+    }
+    Blame(each.send.fingerprint, blamed, each.send.service, server, news);
   }
-  std::erase_if(losses_,
-                [server](const loss& each) { return each.server == server; });
+  std::erase_if(losses_, [server](const loss& each) {
+    return each.send.server == server;
+  });
   return news;
 }
 
-void crash_guard::Merge(const std::vector<suspect_report>& reports,
-                        instant now) {
+crash_news crash_guard::Merge(const std::vector<suspect_report>& reports,
+                              instant now) {
+  crash_news news;
   for (const suspect_report& each : reports) {
+    const milliseconds idle(each.idle_ms);
+    if (idle >= kForgetAfter) continue;
     suspect& blamed = suspects_[each.fingerprint];
-    for (const std::uint64_t server : each.servers) {
-      if (blamed.servers.insert(server).second) blamed.last = now;
+    blamed.last = std::max(blamed.last, now - idle);
+    blamed.answered = blamed.answered || each.answered;
+    for (const suspect_service& at : each.services) {
+      service_record& record = blamed.services[at.service];
+      record.answered = record.answered || at.answered;
+      for (const std::uint64_t server : at.servers) {
+        Blame(each.fingerprint, blamed, at.service, server, news);
+      }
     }
   }
+  return news;
 }
 
 bool crash_guard::Refuses(std::uint64_t fingerprint) const {
   const auto found = suspects_.find(fingerprint);
-  return found != suspects_.end() && found->second.servers.size() >= kCrashes;
+  return found != suspects_.end() && found->second.RefusedEverywhere();
 }
 
-std::vector<suspect_report> crash_guard::Reports(instant now) {
+bool crash_guard::Refuses(std::uint64_t fingerprint,
+                          std::uint64_t service) const {
+  const auto found = suspects_.find(fingerprint);
+  if (found == suspects_.end()) return false;
+  const suspect& blamed = found->second;
+  if (blamed.RefusedEverywhere()) return true;
+  const auto record = blamed.services.find(service);
+  return record != blamed.services.end() && blamed.RefusedAt(record->second);
+}
+
+std::size_t crash_guard::RefusedCount() const {
+  return static_cast<std::size_t>(
+      std::count_if(suspects_.begin(), suspects_.end(),
+                    [](const auto& each) { return each.second.Refused(); }));
+}
+
+void crash_guard::Forget(instant now) {
   std::erase_if(suspects_, [now](const auto& entry) {
-    return now - entry.second.last > kForgetAfter;
+    return now - entry.second.last >= kForgetAfter;
+  });
+}
+
+suspect_report crash_guard::ReportOf(std::uint64_t fingerprint,
+                                     const suspect& blamed, instant now) {
+  suspect_report report{.fingerprint = fingerprint,
+                        .answered = blamed.answered,
+                        .idle_ms = static_cast<std::uint32_t>(
+                            CeilMilliseconds(now - blamed.last))};
+  std::vector<std::pair<std::uint64_t, const service_record*>> services;
+  services.reserve(blamed.services.size());
+  for (const auto& [service, record] : blamed.services) {
+    services.emplace_back(service, &record);
+  }
+  std::stable_sort(services.begin(), services.end(),
+                   [](const auto& left, const auto& right) {
+                     return left.second->ended.size() >
+                            right.second->ended.size();
+                   });
+  services.resize(std::min(services.size(), kMostServicesTold));
+  for (const auto& [service, record] : services) {
+    suspect_service told{.service = service, .answered = record->answered};
+    for (const std::uint64_t server : record->ended) {
+      if (told.servers.size() == kCrashes) break;
+      told.servers.push_back(server);
+    }
+    report.services.push_back(std::move(told));
+  }
+  return report;
+}
+
+// Requests that no server has answered come first, since only they are refused
+// everywhere; among equals the one that was told longest ago.
+std::vector<suspect_report> crash_guard::Reports(instant now) {
+  Forget(now);
+  ++messages_;
+  std::vector<std::pair<std::uint64_t, suspect*>> all;
+  all.reserve(suspects_.size());
+  for (auto& [fingerprint, blamed] : suspects_) {
+    all.emplace_back(fingerprint, &blamed);
+  }
+  std::sort(all.begin(), all.end(), [](const auto& left, const auto& right) {
+    return std::tuple(left.second->answered, left.second->told, left.first) <
+           std::tuple(right.second->answered, right.second->told, right.first);
   });
   std::vector<suspect_report> reports;
-  for (const auto& [fingerprint, blamed] : suspects_) {
-    if (reports.size() == kMostReports) break;
-    reports.push_back(
-        {.fingerprint = fingerprint,
-         .servers = {blamed.servers.begin(), blamed.servers.end()}});
+  std::size_t runs = 0;
+  for (auto& [fingerprint, blamed] : all) {
+    reports.push_back(ReportOf(fingerprint, *blamed, now));
+    blamed->told = messages_;
+    for (const suspect_service& each : reports.back().services) {
+      runs += 1 + each.servers.size();
+    }
+    if (runs >= kMostRunsTold) break;
   }
   return reports;
 }
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -21,6 +21,14 @@
 // this one does not know of yet.
 constexpr unsigned kReservedConnections = 2;
 
+void LogContained(const crash_news& news, std::string_view source) {
+  for (const std::uint64_t fingerprint : news.refused) {
+    event_line("call", "request_contained")
+        .With("fingerprint", fingerprint)
+        .With("source", source);
+  }
+}
+
 }  // namespace
 
 microseconds route_timing::Usual(microseconds objective) const {
@@ -79,35 +87,51 @@
                    now);
 }
 
-void dispatcher::OnSendEnd(listed_server& server, std::uint64_t fingerprint,
-                           const backend_reply& reply, instant now) {
+void dispatcher::OnSendEnd(const listed_server_ptr& server,
+                           const lost_send& send, const backend_reply& reply,
+                           instant now) {
   const std::string* warmup = reply.Header(options.names.warmup_left_ms);
   if (warmup != nullptr) {
     std::int64_t left_ms = 0;
     std::from_chars(warmup->data(), warmup->data() + warmup->size(), left_ms);
-    server.cold_until = now + milliseconds(left_ms);
+    server->cold_until = now + milliseconds(left_ms);
   }
   if (reply.fault == exchange_fault::kNone) return;
   // A server that breaks off may have restarted, and is cold when it is back;
   // its entry tells that later.
-  const service_settings settings = SettingsOf(server.info.service);
+  const service_settings settings = SettingsOf(server->info.service);
   if (settings.warmup_rate_per_s > 0) {
-    server.cold_until = std::max(server.cold_until, now + settings.warmup);
+    server->cold_until = std::max(server->cold_until, now + settings.warmup);
   }
   if (reply.fault == exchange_fault::kBroken && reply.sent) {
     ++counts.broken_in_run;
-    counts.breaks_unconfirmed +=
-        crashes.OnBroken(fingerprint, server.info.RunHash(), now);
-  } else if ((reply.fault == exchange_fault::kNotConnected ||
-              reply.fault == exchange_fault::kRefused) &&
-             crashes.OnRefused(server.info.RunHash(), now)) {
-    ++counts.crashes_confirmed;
-    event_line("call", "server_crashed")
-        .With("server", server.info.id)
-        .With("fingerprint", fingerprint);
+    crashes.OnLost(send, now);
+    confirmer.OnLost(server);
+  } else if (reply.fault == exchange_fault::kRefused) {
+    OnServerEnded(server->info, "refused");
   }
 }
 
+void dispatcher::OnServerEnded(const backend_server& server,
+                               std::string_view proof) {
+  const crash_news news = crashes.OnEnded(server.RunHash(), Now());
+  if (news.blamed.empty()) return;
+  ++counts.crashes_confirmed;
+  event_line("call", "server_crashed")
+      .With("server", server.id)
+      .With("proof", proof)
+      .With("blamed", news.blamed.size())
+      .With("fingerprint", news.blamed.front());
+  LogContained(news, server.id);
+  on_crash_news();
+}
+
+void dispatcher::OnSuspects(const std::vector<suspect_report>& reports) {
+  const crash_news news = crashes.Merge(reports, Now());
+  LogContained(news, "peer");
+  if (!news.blamed.empty()) on_crash_news();
+}
+
 unsigned dispatcher::ConnectionsTo(const std::string& service) const {
   const unsigned most = SettingsOf(service).max_connections;
   const unsigned shared =
--- a/src/dispatch/service_call.cc
+++ b/src/dispatch/service_call.cc
@@ -51,6 +51,7 @@
     : shared_(shared),
       request_(std::move(request)),
       service_(std::move(service)),
+      service_hash_(crash_guard::ServiceHash(service_)),
       done_(std::move(done)) {}
 
 void service_call::Start() {
@@ -109,8 +110,21 @@
   return usable;
 }
 
+lost_send service_call::LostAt(const listed_server& server) const {
+  return {.fingerprint = request_->fingerprint,
+          .service = service_hash_,
+          .server = server.info.RunHash(),
+          .request = request_->answers};
+}
+
 service_call::attempt service_call::TrySend() {
   if (!MaySendMore()) return attempt::kNever;
+  // Asked at each send: other servers may have ended since the request came.
+  if (shared_.crashes.Refuses(request_->fingerprint, service_hash_)) {
+    ++shared_.counts.contained;
+    last_.contained = true;
+    return attempt::kNever;
+  }
   const instant now = Now();
   const unsigned most = shared_.ConnectionsTo(service_);
   std::vector<replica> replicas;
@@ -182,11 +196,15 @@
   shared_.cold.OnSent(key, now);
   dispatcher* shared = &shared_;
   const auto on_reply = [weak = weak_from_this(), shared, server, key, send_key,
-                         number, extra, now,
+                         number, extra, now, lost = LostAt(*server),
                          request = request_](backend_reply reply) {
     const auto outcome = JudgeReply(reply, shared->options.names);
     shared->stats.OnEnd(key, send_key, EndOf(outcome, reply), Now());
-    shared->OnSendEnd(*server, request->fingerprint, reply, Now());
+    if (outcome == send_outcome::kAnswer) {
+      request->answers->services.push_back(lost.service);
+      shared->crashes.OnAnswer(lost.fingerprint, lost.service);
+    }
+    shared->OnSendEnd(server, lost, reply, Now());
     if (outcome == send_outcome::kAnswer && !extra) {
       shared->timings[request->route_name].Add(Now() - now);
     }
@@ -207,7 +225,7 @@
                           on_reply);
   in_flight_.push_back({.number = number,
                         .id = id,
-                        .server = key,
+                        .server = server,
                         .stats_key = send_key,
                         .extra = extra,
                         .since = now});
@@ -251,14 +269,14 @@
   event_line("call", "send_failed")
       .With("request", request_->request_id)
       .With("service", service_)
-      .With("server", ended.server)
+      .With("server", ended.server->info.id)
       .With("outcome", Name(outcome))
       .With("fault", Name(reply.fault))
       .With("status", reply.status)
       .With("fingerprint", request_->fingerprint)
       .With("after_ms", ToMilliseconds(Now() - ended.since));
   if (SurelyNotRun(outcome)) {
-    tried_.erase(ended.server);
+    tried_.erase(ended.server->key);
     if (outcome == send_outcome::kNeverSent && ended.extra) {
       shared_.budgets[service_].Refund();
     }
@@ -298,7 +316,9 @@
       last_.retry_after = soonest_ - Now();
       break;
     case attempt::kNever:
-      last_.retry_after = kDefaultRetryAfter;
+      last_.retry_after = last_.contained
+                              ? microseconds(crash_guard::kForgetAfter)
+                              : kDefaultRetryAfter;
       break;
   }
   Finish(std::move(last_));
@@ -323,8 +343,13 @@
 }
 
 void service_call::Drop(const send& each) {
+  const instant now = Now();
   shared_.sender.Abandon(each.id);
-  shared_.stats.OnEnd(each.server, each.stats_key, send_end::kAbandoned, Now());
+  shared_.stats.OnEnd(each.server->key, each.stats_key, send_end::kAbandoned,
+                      now);
+  // The host of a server may have ended with it, and nothing broke then.
+  if (now - each.since >= kLinger)
+    shared_.crashes.OnLost(LostAt(*each.server), now);
 }
 
 }  // namespace basilhoist
--- a/src/knowledge/peer_exchange.cc
+++ b/src/knowledge/peer_exchange.cc
@@ -33,6 +33,14 @@
 
 void peer_exchange::TellAll() { Tell(peers_.Addresses().size()); }
 
+void peer_exchange::TellNews() {
+  if (std::exchange(news_waits_, true)) return;
+  loop_.Post([this] {
+    news_waits_ = false;
+    Tell(options_.news_fanout);
+  });
+}
+
 std::vector<peer_state> peer_exchange::HeardLately() const {
   return peers_.HeardLately(Now(), UsualInterval());
 }
--- a/src/link/codec.cc
+++ b/src/link/codec.cc
@@ -173,8 +173,12 @@
   archive(m.kind, m.revision, m.digest);
 }
 template <typename Archive>
+void serialize(Archive& archive, suspect_service& m) {
+  archive(m.service, m.answered, m.servers);
+}
+template <typename Archive>
 void serialize(Archive& archive, suspect_report& m) {
-  archive(m.fingerprint, m.servers);
+  archive(m.fingerprint, m.answered, m.idle_ms, m.services);
 }
 template <typename Archive>
 void serialize(Archive& archive, peer_state& m) {
--- a/src/relay/relay_server.cc
+++ b/src/relay/relay_server.cc
@@ -75,7 +75,7 @@
       const auto* proof = result.reply.Header(shared_.options.names.signature);
       pending_.parts.push_back({.shard = shard, .signature = *proof});
       bodies_.push_back(std::move(result.reply.body));
-    } else if (result.sends == 0) {
+    } else if (result.sends == 0 && !result.contained) {
       pending_.not_sent.push_back(shard);
     } else {
       pending_.failed.push_back(shard);
--- a/src/router/request_gate.cc
+++ b/src/router/request_gate.cc
@@ -27,8 +27,6 @@
 // The routing table of a router that has just started is there within this.
 constexpr milliseconds kRetryWithoutTable{500};
 
-// A request that crashes servers is kept out for minutes.
-constexpr milliseconds kRetryAfterCrashes{60000};
 // Missing shards that one log line lists.
 constexpr std::size_t kListedMissing = 8;
 
@@ -140,7 +138,7 @@
                    "no_request_id"};
   }
   if (shared_.crashes.Refuses(FingerprintOf(exchange))) {
-    return refusal{NotRunReply(names, kRetryAfterCrashes,
+    return refusal{NotRunReply(names, crash_guard::kForgetAfter,
                                "Servers crashed on this request; it has not "
                                "run."),
                    "crashes_servers"};
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -94,7 +94,7 @@
                .suspects = [this] { return shared.crashes.Reports(Now()); },
                .on_suspects =
                    [this](const std::vector<suspect_report>& reports) {
-                     shared.crashes.Merge(reports, Now());
+                     shared.OnSuspects(reports);
                    },
                .on_peers =
                    [this](const std::vector<peer_state>& heard) {
@@ -122,7 +122,9 @@
     gate.OnLatency([this](microseconds took) {
       latency->Observe(ToMilliseconds(took) / 1000);
     });
+    shared.on_crash_news = [this] { known.TellNews(); };
     directory.OnGone([this](const listed_server& server) {
+      if (!server.info.draining) shared.OnServerEnded(server.info, "entry");
       pool.Forget(server);
       shared.stats.Forget(server.key);
       shared.cold.Forget(server.key);
@@ -231,7 +233,7 @@
         {"budget_refusals", sends.budget_refusals},
         {"broken_in_run", sends.broken_in_run},
         {"crashes_confirmed", sends.crashes_confirmed},
-        {"breaks_unconfirmed", sends.breaks_unconfirmed},
+        {"contained_sends", sends.contained},
         {"connections_opened", pool.Opened()},
         {"store_calls", known.StoreCalls()}};
     std::vector<prometheus::MetricFamily> families = registry.Collect();
--- a/tests/backend_connection_test.cc
+++ b/tests/backend_connection_test.cc
@@ -125,6 +125,32 @@
   BOOST_TEST(!ended.sent);
 }
 
+listen_state CheckOf(const endpoint& where) {
+  event_loop loop;
+  backend_pool pool(loop);
+  listed_server server;
+  server.info.address = where;
+  auto found = listen_state::kUnclear;
+  pool.Check(server, [&](listen_state state) {
+    found = state;
+    loop.Stop();
+  });
+  loop.Run();
+  return found;
+}
+
+BOOST_AUTO_TEST_CASE(ACheckTellsAServerThatListensFromOneThatHasEnded) {
+  endpoint where;
+  {
+    const scripted_server server([](scripted_connection& connection) {
+      BOOST_TEST(connection.ReadRequest().empty());
+    });
+    where = server.Address();
+    BOOST_TEST((CheckOf(where) == listen_state::kListens));
+  }
+  BOOST_TEST((CheckOf(where) == listen_state::kRefuses));
+}
+
 // Two requests over a pool; the script sees how many connections they took.
 int ConnectionsForTwo(const scripted_server::script& script,
                       std::vector<backend_reply>& replies) {
--- /dev/null
+++ b/tests/cold_gate_test.cc
@@ -0,0 +1,51 @@
+// Cold servers get no more than they bear from all instances together.
+#include "basilhoist/dispatch/cold_gate.h"
+
+#include <rapidcheck/boost_test.h>
+
+#include <boost/test/unit_test.hpp>
+#include <deque>
+
+namespace basilhoist {
+namespace {
+
+const instant kStart{std::chrono::seconds(100)};
+// What the platform allows beyond a server's rate.
+constexpr double kOvershoot = 1.5;
+constexpr double kSlack = 5;
+
+// Whatever instances know of each other's rank, as long as no more than the
+// senders believe that they are some, each second stays within the bound.
+RC_BOOST_PROP(AColdServerGetsNoMoreThanItBears, ()) {
+  const auto instances = *rc::gen::inRange<std::size_t>(1, 80);
+  const auto rate = *rc::gen::inRange(1, 30);
+  std::vector<cold_gate> gates(instances);
+  std::deque<std::int64_t> sent;
+  std::int64_t now_ms = 0;
+  const int tries = *rc::gen::inRange(1, 800);
+  for (int i = 0; i < tries; ++i) {
+    now_ms += *rc::gen::inRange(0, 20);
+    const instant now = kStart + milliseconds(now_ms);
+    const auto which = *rc::gen::inRange<std::size_t>(0, instances);
+    const cold_limit limit{.rate_per_s = static_cast<double>(rate),
+                           .instances = instances,
+                           .rank = which};
+    if (gates[which].May(1, limit, now)) {
+      gates[which].OnSent(1, now);
+      sent.push_back(now_ms);
+    }
+    while (!sent.empty() && sent.front() <= now_ms - 1000) sent.pop_front();
+    RC_ASSERT(static_cast<double>(sent.size()) <= rate * kOvershoot + kSlack);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(WithoutARateThereIsNoLimit) {
+  cold_gate gate;
+  for (int i = 0; i < 100; ++i) {
+    BOOST_TEST(gate.May(1, {.rate_per_s = 0, .rank = 70}, kStart));
+    gate.OnSent(1, kStart);
+  }
+}
+
+}  // namespace
+}  // namespace basilhoist
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -62,6 +62,7 @@
     return sent.size();
   }
   bool HasRoom(const listed_server&, unsigned) const override { return true; }
+  void Check(const listed_server&, listen_check::handler) override {}
   void Abandon(std::uint64_t) override { ++abandoned; }
 
   struct sent_request {
@@ -262,6 +263,30 @@
   BOOST_TEST(sender.abandoned == 3);
 }
 
+// The sender would send it directly, and may not know yet.
+BOOST_FIXTURE_TEST_CASE(WhatARelayKeepsOutIsNotHandedBack, fixture) {
+  for (std::uint64_t run = 1; run <= crash_guard::kCrashes; ++run) {
+    shared.crashes.OnLost({.fingerprint = 0,
+                           .service = crash_guard::ServiceHash("s1"),
+                           .server = run,
+                           .request = std::make_shared<request_answers>()},
+                          Now());
+    static_cast<void>(shared.crashes.OnEnded(run, Now()));
+  }
+  Send();
+  const auto failed = [this] {
+    std::size_t count = 0;
+    for (const relay_update& each : updates) count += each.failed.size();
+    return count;
+  };
+  RunUntil([&failed] { return failed() == 3; });
+  BOOST_TEST(sender.sent.empty());
+  for (const relay_update& each : updates) {
+    BOOST_TEST(each.not_sent.empty());
+    BOOST_TEST(!each.may_have_run);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(NearShardsAreRelayedOnlyWhereTheOwnDomainIsAmongThem) {
   std::vector<shard_place> places(4, {{"a", "b"}});
   places.push_back({{"b"}});
--- a/tests/service_call_test.cc
+++ b/tests/service_call_test.cc
@@ -51,6 +51,9 @@
   bool HasRoom(const listed_server& server, unsigned) const override {
     return !full.contains(server.info.id);
   }
+  void Check(const listed_server&, listen_check::handler done) override {
+    done(check_finds);
+  }
   void Abandon(std::uint64_t id) override {
     sent[id - 1].done = nullptr;
     abandoned.push_back(id);
@@ -65,6 +68,7 @@
   std::vector<sent_request> sent;
   std::vector<std::uint64_t> abandoned;
   std::set<std::string> full;
+  listen_state check_finds = listen_state::kListens;
 };
 
 struct fixture {
@@ -266,6 +270,60 @@
 
 // Whatever servers do, a request that is not idempotent runs at most once,
 // and a result that denies it was run is true.
+// Ends runs of servers under the request of Begin until it is refused.
+void CrashThree(dispatcher& shared) {
+  for (std::uint64_t server = 1; server <= crash_guard::kCrashes; ++server) {
+    shared.crashes.OnLost({.fingerprint = 0,
+                           .service = crash_guard::ServiceHash("s"),
+                           .server = server,
+                           .request = std::make_shared<request_answers>()},
+                          Now());
+    static_cast<void>(shared.crashes.OnEnded(server, Now()));
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(ARequestInFlightGetsNoSecondSendOnceItIsKnown,
+                        fixture) {
+  Begin(true);
+  CrashThree(shared);
+  RunFor(200);
+  BOOST_TEST(sender.sent.size() == 1U);
+  sender.Reply(0, Broken());
+  BOOST_REQUIRE(ended.size() == 1U);
+  BOOST_TEST(sender.sent.size() == 1U);
+  BOOST_TEST(ended[0].contained);
+  BOOST_TEST(ended[0].may_have_run);
+}
+
+BOOST_FIXTURE_TEST_CASE(ARequestThatWaitsIsNotSentOnceItIsKnown, fixture) {
+  sender.full = {"a", "b", "c"};
+  Begin(true);
+  BOOST_TEST(ended.empty());
+  CrashThree(shared);
+  sender.full.clear();
+  RunFor(40);
+  BOOST_REQUIRE(ended.size() == 1U);
+  BOOST_TEST(sender.sent.empty());
+  BOOST_TEST(ended[0].contained);
+  BOOST_TEST(!ended[0].may_have_run);
+  BOOST_TEST((ended[0].retry_after == crash_guard::kForgetAfter));
+}
+
+BOOST_FIXTURE_TEST_CASE(AServerThatBreaksOffIsCheckedAndBlamed, fixture) {
+  sender.check_finds = listen_state::kRefuses;
+  std::size_t told = 0;
+  shared.on_crash_news = [&told] { ++told; };
+  for (int i = 0; i < 3; ++i) {
+    Begin(false, 1);
+    sender.Reply(sender.sent.size() - 1, Broken());
+    RunFor(5);
+    shared.stats = {};
+    List({"a" + std::to_string(i), "b" + std::to_string(i)});
+  }
+  BOOST_TEST(told == 3U);
+  BOOST_TEST(shared.crashes.Refuses(0));
+}
+
 RC_BOOST_FIXTURE_PROP(NeverRunsTwice, fixture, ()) {
   Begin(false, *rc::gen::inRange(1U, 5U));
   int runs = 0;
