Requests that are kept out stay so when all routers restart

What callers saw: after all routers lost power, a request that had been kept out ended servers again, three and more after each restart.

Cause: what routers know of such requests lived in memory alone, and travels between peers that live. Change: the router that finds the third run writes the report to the store (suspect_archive: a kind of our own, one object for each request, replaced when it is found again); every router lists the kind once when it starts. Peers that are told of a refused request write nothing. Cost: one listing a start, one or two writes for each request found.

Not chosen: a watch of the kind (a call each half minute and router for what peers tell in milliseconds); an object for each run that ended (three times the writes, and nothing is decided by one).

--- a/include/basilhoist/dispatch/crash_guard.h
+++ b/include/basilhoist/dispatch/crash_guard.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string_view>
 #include <vector>
@@ -35,6 +36,8 @@
   std::vector<std::uint64_t> blamed;
   /// Fingerprints that are refused from now on, by one service at least.
   std::vector<std::uint64_t> refused;
+  /// Those of them that nobody has told to be refused: found here.
+  std::vector<std::uint64_t> found;
 
   bool operator==(const crash_news&) const = default;
 };
@@ -84,6 +87,10 @@
   ///   left out comes first in a later one
   [[nodiscard]] std::vector<suspect_report> Reports(instant now);
 
+  /// @return what is known of a request; nothing if it is no suspect
+  [[nodiscard]] std::optional<suspect_report> ReportOf(
+      std::uint64_t fingerprint, instant now) const;
+
   /// @return requests that are refused now
   [[nodiscard]] std::size_t RefusedCount() const;
 
@@ -113,8 +120,8 @@
                     std::uint64_t service, std::uint64_t server,
                     crash_news& news);
   void Forget(instant now);
-  static suspect_report ReportOf(std::uint64_t fingerprint,
-                                 const suspect& blamed, instant now);
+  static suspect_report Summarize(std::uint64_t fingerprint,
+                                  const suspect& blamed, instant now);
 
   std::deque<loss> losses_;  // no proof yet, oldest first
   std::map<std::uint64_t, suspect> suspects_;
--- a/include/basilhoist/dispatch/dispatcher.h
+++ b/include/basilhoist/dispatch/dispatcher.h
@@ -103,9 +103,13 @@
   /// @param proof how that is known, for logs
   void OnServerEnded(const backend_server& server, std::string_view proof);
 
-  /// Peers have told of requests that crash servers.
+  /// Peers, or the store, have told of requests that crash servers.
   void OnSuspects(const std::vector<suspect_report>& reports);
 
+  /// Passes on what has changed.
+  /// @param source a server, or who told of it, for logs
+  void TakeNews(const crash_news& news, std::string_view source);
+
   /// @return connections that this instance may have to one server
   [[nodiscard]] unsigned ConnectionsTo(const std::string& service) const;
 
@@ -131,6 +135,9 @@
   crash_confirmer confirmer;
   /// Peers should hear now what crashes.Reports tells.
   std::function<void()> on_crash_news = [] {};
+  /// A request is refused from now on, as this instance found by itself or by
+  /// adding up what others told.
+  std::function<void(std::uint64_t)> on_contained = [](std::uint64_t) {};
   std::map<std::string, retry_budget> budgets;
   std::map<std::string, route_timing> timings;
   dispatch_counts counts;
--- a/include/basilhoist/router/knowledge.h
+++ b/include/basilhoist/router/knowledge.h
@@ -10,6 +10,7 @@
 #include "basilhoist/knowledge/lead_tracker.h"
 #include "basilhoist/knowledge/object_feed.h"
 #include "basilhoist/knowledge/peer_exchange.h"
+#include "basilhoist/knowledge/suspect_archive.h"
 #include "basilhoist/router/platform_binding.h"
 #include "basilhoist/router/router_settings.h"
 
@@ -42,6 +43,9 @@
   /// for whom it is news do the same.
   void TellNews() { peers_.TellNews(); }
 
+  /// Keeps a request that is refused for instances that restart.
+  void KeepSuspect(const suspect_report& report) { archive_.Write(report); }
+
   /// Tells peers that this router is about to end.
   void Leave();
 
@@ -80,6 +84,7 @@
   server_directory& directory_;
   handlers on_;
   object_store store_;
+  suspect_archive archive_;
   std::vector<std::unique_ptr<object_feed>> feeds_;
   peer_exchange peers_;
   std::uint64_t incarnation_;
--- a/include/basilhoist/router/platform_binding.h
+++ b/include/basilhoist/router/platform_binding.h
@@ -19,6 +19,7 @@
   std::string servers;      ///< One object for each backend server.
   std::string evacuations;  ///< One for each evacuated failure domain.
   std::string instances;    ///< One for each instance of the tier.
+  std::string suspects;     ///< One for each request that crashes servers.
 
   bool operator==(const object_kinds&) const = default;
 };
--- a/scripts/platform_rig.py
+++ b/scripts/platform_rig.py
@@ -150,6 +150,12 @@
                          "currentRev": self.revision}
         if method == "GET":
             return (200, objects[name]) if name in objects else (404, {})
+        if method == "DELETE":
+            if name not in objects:
+                return 404, {}
+            gone = objects[name]
+            self.remove(kind, name)
+            return 200, gone
         sent = json.loads(body)
         if method == "POST":
             name = sent["meta"]["name"]
--- a/src/dispatch/crash_guard.cc
+++ b/src/dispatch/crash_guard.cc
@@ -17,6 +17,18 @@
   return XXH64(text.data(), text.size(), seed);
 }
 
+// Whether the sender of the report refuses the request.
+bool TellsRefused(const suspect_report& report) {
+  std::size_t ended = 0;
+  for (const suspect_service& each : report.services) {
+    if (!each.answered && each.servers.size() >= crash_guard::kCrashes) {
+      return true;
+    }
+    ended += each.servers.size();
+  }
+  return !report.answered && ended >= crash_guard::kCrashes;
+}
+
 }  // namespace
 
 std::uint64_t crash_guard::Fingerprint(std::string_view method,
@@ -96,6 +108,7 @@
     }
     Blame(each.send.fingerprint, blamed, each.send.service, server, news);
   }
+  news.found = news.refused;
   std::erase_if(losses_, [server](const loss& each) {
     return each.send.server == server;
   });
@@ -108,6 +121,7 @@
   for (const suspect_report& each : reports) {
     const milliseconds idle(each.idle_ms);
     if (idle >= kForgetAfter) continue;
+    const std::size_t refused_before = news.refused.size();
     suspect& blamed = suspects_[each.fingerprint];
     blamed.last = std::max(blamed.last, now - idle);
     blamed.answered = blamed.answered || each.answered;
@@ -118,6 +132,9 @@
         Blame(each.fingerprint, blamed, at.service, server, news);
       }
     }
+    if (news.refused.size() > refused_before && !TellsRefused(each)) {
+      news.found.push_back(each.fingerprint);
+    }
   }
   return news;
 }
@@ -149,8 +166,8 @@
   });
 }
 
-suspect_report crash_guard::ReportOf(std::uint64_t fingerprint,
-                                     const suspect& blamed, instant now) {
+suspect_report crash_guard::Summarize(std::uint64_t fingerprint,
+                                      const suspect& blamed, instant now) {
   suspect_report report{.fingerprint = fingerprint,
                         .answered = blamed.answered,
                         .idle_ms = static_cast<std::uint32_t>(
@@ -177,6 +194,13 @@
   return report;
 }
 
+std::optional<suspect_report> crash_guard::ReportOf(std::uint64_t fingerprint,
+                                                    instant now) const {
+  const auto found = suspects_.find(fingerprint);
+  if (found == suspects_.end()) return std::nullopt;
+  return Summarize(fingerprint, found->second, now);
+}
+
 // Requests that no server has answered come first, since only they are refused
 // everywhere; among equals the one that was told longest ago.
 std::vector<suspect_report> crash_guard::Reports(instant now) {
@@ -194,7 +218,7 @@
   std::vector<suspect_report> reports;
   std::size_t runs = 0;
   for (auto& [fingerprint, blamed] : all) {
-    reports.push_back(ReportOf(fingerprint, *blamed, now));
+    reports.push_back(Summarize(fingerprint, *blamed, now));
     blamed->told = messages_;
     for (const suspect_service& each : reports.back().services) {
       runs += 1 + each.servers.size();
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -21,14 +21,6 @@
 // this one does not know of yet.
 constexpr unsigned kReservedConnections = 2;
 
-void LogContained(const crash_news& news, std::string_view source) {
-  for (const std::uint64_t fingerprint : news.refused) {
-    event_line("call", "request_contained")
-        .With("fingerprint", fingerprint)
-        .With("source", source);
-  }
-}
-
 }  // namespace
 
 microseconds route_timing::Usual(microseconds objective) const {
@@ -122,13 +114,21 @@
       .With("proof", proof)
       .With("blamed", news.blamed.size())
       .With("fingerprint", news.blamed.front());
-  LogContained(news, server.id);
-  on_crash_news();
+  TakeNews(news, server.id);
 }
 
 void dispatcher::OnSuspects(const std::vector<suspect_report>& reports) {
   const crash_news news = crashes.Merge(reports, Now());
-  LogContained(news, "peer");
+  TakeNews(news, "peer");
+}
+
+void dispatcher::TakeNews(const crash_news& news, std::string_view source) {
+  for (const std::uint64_t fingerprint : news.refused) {
+    event_line("call", "request_contained")
+        .With("fingerprint", fingerprint)
+        .With("source", source);
+  }
+  for (const std::uint64_t fingerprint : news.found) on_contained(fingerprint);
   if (!news.blamed.empty()) on_crash_news();
 }
 
--- /dev/null
+++ b/src/knowledge/suspect_archive.cc
@@ -0,0 +1,156 @@
+#include "basilhoist/knowledge/suspect_archive.h"
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <limits>
+#include <utility>
+
+#include "basilhoist/ops/event_line.h"
+
+namespace basilhoist {
+namespace {
+
+// Objects are removed only when they are this many times too old to matter, so
+// that a clock that is minutes off removes nothing.
+constexpr int kRemoveFactor = 30;
+
+std::int64_t TimeOfDayMs() {
+  return std::chrono::duration_cast<milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+// Numbers of 64 bits are not safe in every reader of JSON.
+std::string Hex(std::uint64_t value) {
+  char text[16];
+  const auto end = std::to_chars(text, text + sizeof text, value, 16);
+  return {text, end.ptr};
+}
+
+std::uint64_t ParseHex(const std::string& text) {
+  std::uint64_t value = 0;
+  const char* end = text.data() + text.size();
+  const auto read = std::from_chars(text.data(), end, value, 16);
+  if (read.ec != std::errc() || read.ptr != end) {
+    throw std::invalid_argument("not a hexadecimal number");
+  }
+  return value;
+}
+
+}  // namespace
+
+object_content SuspectContent(const suspect_report& report,
+                              std::int64_t now_ms) {
+  object_content services = object_content::array();
+  for (const suspect_service& each : report.services) {
+    object_content runs = object_content::array();
+    for (const std::uint64_t run : each.servers) runs.push_back(Hex(run));
+    services.push_back({{"service", Hex(each.service)},
+                        {"answered", each.answered},
+                        {"ended_runs", std::move(runs)}});
+  }
+  return {{"fingerprint", Hex(report.fingerprint)},
+          {"answered", report.answered},
+          {"blamed_at_ms", now_ms - static_cast<std::int64_t>(report.idle_ms)},
+          {"services", std::move(services)}};
+}
+
+std::optional<suspect_report> ReadSuspect(const object_content& content,
+                                          std::int64_t now_ms) {
+  try {
+    const std::int64_t age = std::clamp<std::int64_t>(
+        now_ms - content.at("blamed_at_ms").get<std::int64_t>(), 0,
+        std::numeric_limits<std::uint32_t>::max());
+    suspect_report report{
+        .fingerprint = ParseHex(content.at("fingerprint").get<std::string>()),
+        .answered = content.at("answered").get<bool>(),
+        .idle_ms = static_cast<std::uint32_t>(age)};
+    for (const object_content& each : content.at("services")) {
+      suspect_service service{
+          .service = ParseHex(each.at("service").get<std::string>()),
+          .answered = each.at("answered").get<bool>()};
+      for (const object_content& run : each.at("ended_runs")) {
+        service.servers.push_back(ParseHex(run.get<std::string>()));
+      }
+      report.services.push_back(std::move(service));
+    }
+    return report;
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+void suspect_archive::ReadPage(const std::string& after) {
+  store_.List(
+      kind_, {.after = after},
+      [this, after](call_outcome outcome, const object_page& page) {
+        if (outcome != call_outcome::kOk) {
+          event_line("suspects", "read_failed").With("outcome", Name(outcome));
+          loop_.After(kRetry, [this, after] { ReadPage(after); });
+          return;
+        }
+        TakePage(page);
+        if (page.has_more && !page.objects.empty()) {
+          ReadPage(page.objects.back().name);
+        }
+      });
+}
+
+void suspect_archive::TakePage(const object_page& page) {
+  const std::int64_t now_ms = TimeOfDayMs();
+  std::vector<suspect_report> reports;
+  for (const object& each : page.objects) {
+    const auto report = ReadSuspect(each.content, now_ms);
+    if (!report) {
+      event_line("suspects", "entry_unreadable").With("name", each.name);
+      continue;
+    }
+    const milliseconds age(report->idle_ms);
+    if (age < keep_for_) {
+      reports.push_back(*report);
+    } else if (age > kRemoveFactor * keep_for_) {
+      store_.Remove(kind_, each.name, each.revision,
+                    [name = each.name](call_outcome outcome, const object&) {
+                      event_line("suspects", "entry_removed")
+                          .With("name", name)
+                          .With("outcome", Name(outcome));
+                    });
+    }
+  }
+  if (reports.empty()) return;
+  event_line("suspects", "taken_from_store").With("count", reports.size());
+  on_read_(reports);
+}
+
+void suspect_archive::Write(const suspect_report& report) {
+  Put({.name = "request-" + Hex(report.fingerprint),
+       .content = SuspectContent(report, TimeOfDayMs())},
+      write_call::kCreate, Now() + keep_for_);
+}
+
+void suspect_archive::Put(const object& value, write_call call,
+                          instant give_up) {
+  const auto done = [this, value, call, give_up](call_outcome outcome,
+                                                 const object&) {
+    if (outcome == call_outcome::kOk) return;
+    if (outcome == call_outcome::kConflict && call == write_call::kCreate) {
+      Put(value, write_call::kReplace, give_up);
+      return;
+    }
+    event_line("suspects", "write_failed")
+        .With("name", value.name)
+        .With("outcome", Name(outcome));
+    if (Now() >= give_up) return;
+    loop_.After(kRetry, [this, value, give_up] {
+      Put(value, write_call::kCreate, give_up);
+    });
+  };
+  if (call == write_call::kReplace) {
+    store_.Replace(kind_, value, done);
+  } else {
+    store_.Create(kind_, value, done);
+  }
+}
+
+}  // namespace basilhoist
--- a/src/router/knowledge.cc
+++ b/src/router/knowledge.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "basilhoist/dispatch/crash_guard.h"
 #include "basilhoist/knowledge/snapshot_text.h"
 #include "basilhoist/ops/event_line.h"
 
@@ -38,6 +39,11 @@
       on_(std::move(on)),
       store_(http, {.address = Format(settings.store_address),
                     .dialect = platform_.dialect}),
+      archive_(loop, store_, platform_.kinds.suspects,
+               crash_guard::kForgetAfter,
+               [this](const std::vector<suspect_report>& reports) {
+                 on_.on_suspects(reports);
+               }),
       peers_(loop,
              {.self = settings.peer_address,
               .processor_permille = Permille(settings.processor_share),
@@ -69,6 +75,7 @@
 
 void knowledge::Start() {
   for (const endpoint& each : settings_.seeds) peers_.Know(each);
+  archive_.Read();
   for (const auto& each : feeds_) each->Start();
   Register(false);
   peers_.Start();
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -123,6 +123,11 @@
       latency->Observe(ToMilliseconds(took) / 1000);
     });
     shared.on_crash_news = [this] { known.TellNews(); };
+    shared.on_contained = [this](std::uint64_t fingerprint) {
+      if (const auto report = shared.crashes.ReportOf(fingerprint, Now())) {
+        known.KeepSuspect(*report);
+      }
+    };
     directory.OnGone([this](const listed_server& server) {
       if (!server.info.draining) shared.OnServerEnded(server.info, "entry");
       pool.Forget(server);
--- a/tests/crash_guard_test.cc
+++ b/tests/crash_guard_test.cc
@@ -120,11 +120,15 @@
     Crash(first, server, kStart);
   }
   Crash(second, 3, kStart);
-  BOOST_TEST(second.Merge(first.Reports(kStart), kStart).refused.size() == 1U);
+  const crash_news sum = second.Merge(first.Reports(kStart), kStart);
+  BOOST_TEST(sum.refused.size() == 1U);
+  BOOST_TEST(sum.found.size() == 1U);
   BOOST_TEST(second.Merge(first.Reports(kStart), kStart).blamed.empty());
   BOOST_TEST(second.Refuses(kBad));
   BOOST_TEST(!first.Refuses(kBad));
-  BOOST_TEST(first.Merge(second.Reports(kStart), kStart).refused.size() == 1U);
+  const crash_news told = first.Merge(second.Reports(kStart), kStart);
+  BOOST_TEST(told.refused.size() == 1U);
+  BOOST_TEST(told.found.empty());
   BOOST_TEST(first.Refuses(kBad));
   static_cast<void>(first.Reports(kStart + std::chrono::hours(1)));
   BOOST_TEST(!first.Refuses(kBad));
