--- a/scripts/bench_patterns.py
+++ b/scripts/bench_patterns.py
@@ -171,9 +171,66 @@
     }
 
 
+REST_S = 1.0  # that all servers of a service ask for
+ASKING_S = 0.6  # in which callers meet such servers
+RETURNING = 60  # callers
+TOGETHER_S = 0.05
+
+
+def ask_until_served(rig, number, arrivals):
+    """A caller that comes back once, when it is told to."""
+    began = time.monotonic()
+    for _ in range(2):
+        arrivals.append(time.monotonic())
+        status, headers, _ = rig.ask(number % ROUTERS, f"/get/{number}",
+                                     wait_ms=4000, timeout=6)
+        if status == 200:
+            return True, time.monotonic() - began
+        time.sleep(float(headers.get("retry-after", 0)))
+    return False, time.monotonic() - began
+
+
+def measure_returns(seed):
+    """All servers of a service ask for rest; refused callers come back."""
+    rig, logs = platform_rig.open_rig(routers=ROUTERS, shards=2, seed=seed)
+    with logs:
+        try:
+            rig.start()
+            servers = rig.of("single")
+            began = time.monotonic()
+            for each in servers:
+                each.retry_after = str(REST_S)
+            arrivals, asked = [], []
+            with concurrent.futures.ThreadPoolExecutor(RETURNING) as pool:
+                for number in range(RETURNING):
+                    asked.append(pool.submit(ask_until_served, rig, number,
+                                             arrivals))
+                    time.sleep(ASKING_S / RETURNING)
+                time.sleep(max(0, began + REST_S - time.monotonic()))
+                for each in servers:
+                    each.retry_after = None
+                answers = [each.result() for each in asked]
+            disturbed = sum(1 for each in servers
+                            for _, at in each.arrived if at < began + REST_S)
+        finally:
+            rig.stop()
+    late = [at for at in arrivals if at > began + ASKING_S]
+    together = max((sum(first <= at < first + TOGETHER_S for at in late)
+                    for first in late), default=0)
+    took = [each[1] for each in answers]
+    return {
+        "served": (sum(each[0] for each in answers) / RETURNING, "share"),
+        "most_in_50_ms": (together, "callers"),
+        "sends_while_resting": (disturbed, "sends"),
+        "p99": (1000 * quantile(took, 0.99), "ms"),
+    }
+
+
 def run(logs, seed):
     del logs  # each rig has its own
     figures = {}
+    for figure, value in measure_returns(seed).items():
+        figures[f"returns_{figure}"] = value
     for name in PATTERNS:
         for figure, value in measure(name, seed).items():
             figures[f"{name}_{figure}"] = value
