A soak of routers; signals are taken before a router starts

Sockets were bound before handlers were installed; a signal in between, or SIGHUP, ended the process. Handlers come first now, and SIGHUP is ignored until then (the file is watched anyway). Before main nothing can be done, so the check passes a process that never logged its start.

--- a/apps/router.cc
+++ b/apps/router.cc
@@ -3,6 +3,7 @@
 
 #include <docopt/docopt.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <iostream>
@@ -98,6 +99,9 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  // The file is read and watched anyway; until the loop takes the signal, it
+  // would end the process.
+  std::signal(SIGHUP, SIG_IGN);
   const auto given = docopt::docopt(kUsage, {argv + 1, argv + argc}, true,
                                     "basilhoist-router");
   const std::string path = given.at("--settings").isString()
@@ -111,10 +115,11 @@
   basilhoist::event_loop loop;
   basilhoist::router router(loop, *settings,
                             basilhoist::platform::MakeBinding());
-  if (!router.Start()) return EXIT_FAILURE;
+  // Before the start, so that a signal that comes with it ends nothing.
   settings_watch watch(router, path);
   loop.OnTerminate([&router] { router.Stop(); });
   loop.OnReload([&watch] { watch.Reload(); });
+  if (!router.Start()) return EXIT_FAILURE;
   loop.Every(kSettingsPoll, [&watch] { watch.Poll(); });
   loop.Run();
   return EXIT_SUCCESS;
--- a/scripts/platform_rig.py
+++ b/scripts/platform_rig.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import bisect
 import dataclasses
 import hashlib
 import json
@@ -21,11 +22,14 @@
 import time
 import urllib.parse
 
+import soak_proxy
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 ROUTER = ROOT / "build" / "basilhoist-router"
 
 CALLER_PORT, READY_PORT, OPS_PORT, PEER_PORT = 8104, 8108, 8106, 7380
 STORE_PORT, SERVER_PORT, CLAIM_PORT = 8102, 8080, 7998
+BEHIND_PROXY = 1  # added to the port of what stands behind a proxy
 SILENCE_S = 3600
 HEARTBEAT_MS = 1200
 HISTORY = 4000
@@ -223,17 +227,29 @@
         self.leaving = False  # it says so in its replies
         self.retry_after = None  # text that it refuses requests with
         self.arrived = []  # (request id, time), refused ones too
+        self.run_starts = []  # times; under one id there may be several runs
+        self.said_leaving = []  # (request id, time)
+        self.said_quiet = []  # (request id, time, wait in s)
+        rig.all_runs.append(self)
         self.server = None
+        self.proxy = soak_proxy.Proxy() if rig.proxied else None
         self.ran = []  # (request id, time)
         self.cut_work = 0
         self.writers = set()
 
     async def start(self):
-        self.server = await asyncio.start_server(
-            self._serve, self.address, SERVER_PORT)
+        self.run_starts.append(time.monotonic())
+        port = SERVER_PORT + (BEHIND_PROXY if self.proxy else 0)
+        self.server = await asyncio.start_server(self._serve, self.address,
+                                                 port)
+        if self.proxy:
+            await self.proxy.start(self.address, SERVER_PORT, self.address,
+                                   port)
         self.enter()
 
     async def stop(self):
+        if self.proxy:
+            await self.proxy.stop()
         self.server.close()
         for writer in list(self.writers):
             if self.rig.crashes.close:
@@ -270,6 +286,10 @@
         next_run.free = asyncio.Semaphore(self.slots)
         next_run.born = max(self.born + 1, int(time.time() * 1000))
         next_run.sequence = 0
+        next_run.state, next_run.mode = "ready", "well"
+        next_run.leaving, next_run.retry_after = False, None
+        if next_run.proxy:
+            next_run.proxy.mode = "well"
         await next_run.start()
 
     def enter(self):
@@ -280,6 +300,10 @@
             "version": "v1", "slots": self.slots, "state": self.state,
             "warmupLeftMs": self.warmup_left_ms, "sequence": self.sequence, "born": self.born})
 
+    def run_at(self, when):
+        """The number of the run that lived then."""
+        return bisect.bisect(self.run_starts, when)
+
     def drain(self):
         self.state = "draining"
         self.enter()
@@ -312,7 +336,13 @@
         self.arrived.append((request_id, time.monotonic()))
         if self.leaving:
             echo.append(("Server-Leaving", "1"))
+            self.said_leaving.append((request_id, time.monotonic()))
         if self.retry_after is not None:
+            try:
+                self.said_quiet.append((request_id, time.monotonic(),
+                                        float(self.retry_after)))
+            except ValueError:
+                pass  # a test of text that is no number
             writer.write(reply_bytes(503, headers=[
                 *echo, ("Basilhoist-Not-Executed", "1"),
                 ("Retry-After", self.retry_after)]))
@@ -375,15 +405,20 @@
     HOST = "rig.example"
 
     def __init__(self, logs, routers=4, shards=6, replicas=2, singles=3,
-                 work_ms=10, seed=1, top=10, zones=4, crashes=Crashes()):
+                 work_ms=10, seed=1, top=10, zones=4, crashes=Crashes(),
+                 proxied=False):
+        self.proxied = proxied  # store and servers stand behind proxies
+        self.store_proxies = {}
         self.crashes = crashes
         self.crash_log = []  # (time, server, request id)
+        self.all_runs = []  # each Backend that ever was
         self.server_zones = self.ZONES[:zones]
         self.logs = pathlib.Path(logs)
         self.random = random.Random(seed)
         self.net, self.claim = self._claim()
         self.count = routers
         self.processes = {}
+        self.starts = {}  # processes of each router so far
         self.files = []
         self.version = 1
         self.top = top
@@ -424,9 +459,14 @@
 
     async def _make_store(self):
         store = Store()
+        port = STORE_PORT + (BEHIND_PROXY if self.proxied else 0)
         self.store_listener = await asyncio.start_server(
             store.serve, [self.store_address(n) for n in range(self.count)],
-            STORE_PORT)
+            port)
+        for number in range(self.count if self.proxied else 0):
+            where = self.store_address(number)
+            self.store_proxies[number] = proxy = soak_proxy.Proxy()
+            await proxy.start(where, STORE_PORT, where, port)
         return store
 
     def later(self, delay_s, work):
@@ -524,12 +564,18 @@
     def start_router(self, number):
         path = self.logs / f"router-{number}.json"
         path.write_text(json.dumps(self.settings(number)))
+        self.starts[number] = self.starts.get(number, 0) + 1
         log = open(self.logs / f"router-{number}.log", "ab")
         self.files.append(log)
         self.processes[number] = subprocess.Popen(
             [str(ROUTER)], stdout=log, stderr=log, cwd=ROOT,
             env={**os.environ, "BASILHOIST_NODE_FILE": str(path)})
 
+    def has_begun(self, number):
+        """Whether the last process of a router has come to its own code."""
+        text = (self.logs / f"router-{number}.log").read_text(errors="replace")
+        return text.count('"event":"started"') == self.starts[number]
+
     def start(self, first_version=True):
         shards, replicas, singles, work_ms = self.shape
         if first_version:
@@ -603,8 +649,12 @@
 
     async def _end_tasks(self):
         self.store_listener.close()
+        for proxy in self.store_proxies.values():
+            proxy.server.close()
         for backend in self.backends.values():
             backend.server.close()
+            if backend.proxy:
+                backend.proxy.server.close()
         own = asyncio.current_task()
         tasks = [each for each in asyncio.all_tasks() if each is not own]
         for each in tasks:
