A server that ended after it said that it leaves has not crashed

Found by reading: a request in flight at a server that leaves by its own word was blamed when the server's entry went, like one at a server that fell over. One duty of the dispatcher now (OnServerGone, AnEndThatWasPlannedIsNoCrash; the test does not compile against the code before). With it: the hash of a run is kept with the listed server instead of being computed for each candidate of each send, and the limit of connections is looked up once a try.

--- a/include/basilhoist/dispatch/dispatcher.h
+++ b/include/basilhoist/dispatch/dispatcher.h
@@ -85,7 +85,7 @@
         options(std::move(the_options)),
         random(options.seed),
         confirmer(the_loop, the_sender, [this](const listed_server& server) {
-          OnServerEnded(server.info, "refused");
+          OnServerEnded(server, "refused");
         }) {}
 
   /// @return the service's settings in the newest table, or defaults
@@ -99,8 +99,9 @@
                                                 instant now) const;
 
   /// The one place that decides whether a server may be sent to now.
+  /// @param connections that this instance may have to it
   [[nodiscard]] send_verdict Judge(const listed_server& server,
-                                   instant now) const;
+                                   unsigned connections, instant now) const;
 
   /// @return whether the server is cold and has had its part for now
   [[nodiscard]] bool TooCold(const listed_server& server, instant now) const;
@@ -121,7 +122,11 @@
 
   /// A server's run has ended without having been asked to.
   /// @param proof how that is known, for logs
-  void OnServerEnded(const backend_server& server, std::string_view proof);
+  void OnServerEnded(const listed_server& server, std::string_view proof);
+
+  /// A run has left the list of servers. One that said that it leaves has ended
+  /// as planned; any other end counts against the requests that it had.
+  void OnServerGone(const listed_server& server);
 
   /// Peers, or the store, have told of requests that crash servers.
   void OnSuspects(const std::vector<suspect_report>& reports);
--- a/src/directory/server_directory.cc
+++ b/src/directory/server_directory.cc
@@ -30,6 +30,7 @@
     }
     auto made = std::make_shared<listed_server>();
     made->key = ++last_key_;
+    made->run = each.RunHash();
     made->info = each;
     made->cold_until = now + each.warmup_left;
     next.emplace(each.id, std::move(made));
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -68,27 +68,29 @@
 std::set<std::string> dispatcher::DomainsOf(const std::string& service,
                                             instant now) const {
   std::set<std::string> domains;
+  const unsigned connections = ConnectionsTo(service);
   for (const listed_server_ptr& each : directory.Of(service)) {
-    const send_bar bar = Judge(*each, now).bar;
+    if (each->missing) continue;
+    const send_bar bar = Judge(*each, connections, now).bar;
     const bool busy = bar == send_bar::kCold || bar == send_bar::kNoRoom;
-    if (each->missing || (bar != send_bar::kNone && !busy)) continue;
+    if (bar != send_bar::kNone && !busy) continue;
     domains.insert(each->info.failure_domain);
   }
   return domains;
 }
 
-send_verdict dispatcher::Judge(const listed_server& server, instant now) const {
-  const std::uint64_t run = server.info.RunHash();
-  const unsigned most = ConnectionsTo(server.info.service);
+send_verdict dispatcher::Judge(const listed_server& server,
+                               unsigned connections, instant now) const {
   return JudgeServer(
       {.gone = server.gone,
        .draining = server.info.draining,
        .evacuated = directory.IsEvacuated(server),
-       .leaving = notices.Leaving(run, now),
-       .quiet_until = notices.QuietUntil(run, now),
+       .leaving = notices.Leaving(server.run, now),
+       .quiet_until = notices.QuietUntil(server.run, now),
        .broken_until = stats.Of(server.key, now).avoid_until,
        .cold_until = TooCold(server, now) ? now + kColdWait : instant(),
-       .room_at = sender.HasRoom(server, most) ? instant() : now + kRoomWait},
+       .room_at =
+           sender.HasRoom(server, connections) ? instant() : now + kRoomWait},
       now);
 }
 
@@ -119,9 +121,9 @@
   if (reply.fault != exchange_fault::kNone || reply.status == kMisdirected) {
     return;
   }
-  const std::uint64_t run = server.info.RunHash();
   const std::string* leaving = reply.Header(options.names.leaving);
-  if (leaving != nullptr && *leaving == "1" && notices.OnLeaving(run, now)) {
+  if (leaving != nullptr && *leaving == "1" &&
+      notices.OnLeaving(server.run, now)) {
     event_line("call", "server_leaves")
         .With("server", server.info.id)
         .With("request", request_id);
@@ -130,11 +132,11 @@
                                  ? reply.Header(options.names.retry_after)
                                  : nullptr;
   if (asked == nullptr) {
-    notices.OnTaken(run);
+    notices.OnTaken(server.run);
     return;
   }
   const stated_wait stated = ReadRetryAfter(*asked);
-  notices.OnWait(run, stated.wait, now);
+  notices.OnWait(server.run, stated.wait, now);
   event_line("call", "server_asks_quiet")
       .With("server", server.info.id)
       .With("request", request_id)
@@ -143,15 +145,22 @@
       .With("wait_ms", stated.wait.count());
 }
 
+void dispatcher::OnServerGone(const listed_server& server) {
+  if (!server.info.draining && !notices.Leaving(server.run, Now())) {
+    OnServerEnded(server, "entry");
+  }
+  stats.Forget(server.key);
+  cold.Forget(server.key);
+}
+
 bool dispatcher::TooCold(const listed_server& server, instant now) const {
   if (now >= server.cold_until) return false;
   const double rate = SettingsOf(server.info.service).warmup_rate_per_s;
   if (rate <= 0) return false;
-  return !cold.May(server.key,
-                   {.rate_per_s = rate,
-                    .instances = instances,
-                    .rank = rank_of(server.info.RunHash())},
-                   now);
+  return !cold.May(
+      server.key,
+      {.rate_per_s = rate, .instances = instances, .rank = rank_of(server.run)},
+      now);
 }
 
 void dispatcher::OnSendEnd(const listed_server_ptr& server,
@@ -175,21 +184,21 @@
     crashes.OnLost(send, now);
     confirmer.OnLost(server);
   } else if (reply.fault == exchange_fault::kRefused) {
-    OnServerEnded(server->info, "refused");
+    OnServerEnded(*server, "refused");
   }
 }
 
-void dispatcher::OnServerEnded(const backend_server& server,
+void dispatcher::OnServerEnded(const listed_server& server,
                                std::string_view proof) {
-  const crash_news news = crashes.OnEnded(server.RunHash(), Now());
+  const crash_news news = crashes.OnEnded(server.run, Now());
   if (news.blamed.empty()) return;
   ++counts.crashes_confirmed;
   event_line("call", "server_crashed")
-      .With("server", server.id)
+      .With("server", server.info.id)
       .With("proof", proof)
       .With("blamed", news.blamed.size())
       .With("fingerprint", news.blamed.front());
-  TakeNews(news, server.id);
+  TakeNews(news, server.info.id);
 }
 
 void dispatcher::OnSuspects(const std::vector<suspect_report>& reports) {
--- a/src/dispatch/service_call.cc
+++ b/src/dispatch/service_call.cc
@@ -97,7 +97,7 @@
   const auto order = [this](const listed_server_ptr& server) {
     const bool far = server->info.failure_domain != request_->relay_domain;
     const std::string& id = request_->request_id;
-    return std::pair(far, XXH64(id.data(), id.size(), server->info.RunHash()));
+    return std::pair(far, XXH64(id.data(), id.size(), server->run));
   };
   std::sort(
       usable.begin(), usable.end(),
@@ -111,7 +111,7 @@
 lost_send service_call::LostAt(const listed_server& server) const {
   return {.fingerprint = request_->fingerprint,
           .service = service_hash_,
-          .server = server.info.RunHash(),
+          .server = server.run,
           .request = request_->answers};
 }
 
@@ -132,13 +132,14 @@
     return attempt::kNever;
   }
   const instant now = Now();
+  const unsigned connections = shared_.ConnectionsTo(service_);
   std::vector<replica> replicas;
   std::vector<listed_server_ptr> servers;
   soonest_ = {};
   bars_ = {};
   for (const listed_server_ptr& each : Candidates()) {
     if (tried_.contains(each->key)) continue;
-    const send_verdict verdict = shared_.Judge(*each, now);
+    const send_verdict verdict = shared_.Judge(*each, connections, now);
     if (!verdict.Allowed()) {
       OnBarred(verdict, now);
       continue;
@@ -188,7 +189,7 @@
   const std::uint64_t send_key = shared_.counts.sends;
   shared_.stats.OnSent(key, send_key, usual, now);
   shared_.cold.OnSent(key, now);
-  shared_.notices.OnSent(server->info.RunHash(), now);
+  shared_.notices.OnSent(server->run, now);
   dispatcher* shared = &shared_;
   const auto on_reply = [weak = weak_from_this(), shared, server, key, send_key,
                          number, extra, now, lost = LostAt(*server),
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -144,10 +144,8 @@
       }
     };
     directory.OnGone([this](const listed_server& server) {
-      if (!server.info.draining) shared.OnServerEnded(server.info, "entry");
       pool.Forget(server);
-      shared.stats.Forget(server.key);
-      shared.cold.Forget(server.key);
+      shared.OnServerGone(server);
     });
   }
 
--- a/tests/service_call_test.cc
+++ b/tests/service_call_test.cc
@@ -324,6 +324,26 @@
   BOOST_TEST(shared.crashes.Refuses(0));
 }
 
+std::size_t BlamedWhenGone(dispatcher& shared, const listed_server& server) {
+  std::size_t told = 0;
+  shared.on_crash_news = [&told] { ++told; };
+  shared.crashes.OnLost({.fingerprint = 1,
+                         .service = 1,
+                         .server = server.run,
+                         .request = std::make_shared<request_answers>()},
+                        Now());
+  shared.OnServerGone(server);
+  return told;
+}
+
+BOOST_FIXTURE_TEST_CASE(AnEndThatWasPlannedIsNoCrash, fixture) {
+  BOOST_TEST(BlamedWhenGone(shared, {.run = 1}) == 1U);
+  BOOST_TEST(BlamedWhenGone(shared, {.run = 2, .info = {.draining = true}}) ==
+             0U);
+  shared.notices.OnLeaving(3, Now());
+  BOOST_TEST(BlamedWhenGone(shared, {.run = 3}) == 0U);
+}
+
 RC_BOOST_FIXTURE_PROP(NeverRunsTwice, fixture, ()) {
   Begin(false, *rc::gen::inRange(1U, 5U));
   int runs = 0;
