--- a/tests/containment_test.py
+++ b/tests/containment_test.py
@@ -1,6 +1,7 @@
 """Requests that crash each server that runs them are kept out everywhere."""
 
 import concurrent.futures
+import sys
 import threading
 import time
 import unittest
@@ -199,4 +200,8 @@
 
 
 if __name__ == "__main__":
-    unittest.main()
+    if len(sys.argv) > 1:
+        unittest.main()
+    support.run_classes([name for name, each in globals().items()
+                         if isinstance(each, type) and
+                         any(part.startswith("test_") for part in vars(each))])
--- a/tests/process_support.py
+++ b/tests/process_support.py
@@ -1,7 +1,9 @@
 """What tests of whole processes share."""
 
+import concurrent.futures
 import os
 import pathlib
+import subprocess
 import sys
 import tempfile
 import unittest
@@ -13,6 +15,21 @@
 SEED = int(os.environ.get("BASILHOIST_SEED", "1"))
 
 
+def run_classes(names, at_once=3):
+    """Runs each test class of the program in a process of its own.
+
+    For cases that mostly wait. Ends the process with the tests' result."""
+    def run(name):
+        return subprocess.run([sys.executable, sys.argv[0], "-v", name],
+                              capture_output=True, text=True, check=False)
+
+    with concurrent.futures.ThreadPoolExecutor(at_once) as pool:
+        results = list(pool.map(run, names))
+    for each in results:
+        print(each.stdout + each.stderr)
+    sys.exit(any(each.returncode for each in results))
+
+
 class FleetTest(unittest.TestCase):
     """Starts one small fleet for all tests of a class."""
 
