--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -14,7 +14,8 @@
 
 SECONDS = 15
 ROUTERS = 6
-FAILED_SEEDS = {}
+FAILED_SEEDS = {
+    38: "a signal between bound sockets and signal handlers ended a router"}
 
 
 class SoakTest(unittest.TestCase):
