--- a/tests/crash_guard_test.cc
+++ b/tests/crash_guard_test.cc
@@ -189,9 +189,10 @@
 // Instances see parts of what happens, and hear of the rest late, doubled and
 // out of order.
 // Sends the target to three servers that end of it.
-void CrashThree(crash_guard& guard, const std::string& target, int round = 0) {
+void CrashThree(crash_guard& guard, const std::string& target,
+                std::uint64_t round = 0) {
   for (std::uint64_t server = 1; server <= 3; ++server) {
-    const std::uint64_t run = round * 10U + server;
+    const std::uint64_t run = round * 10 + server;
     guard.OnLost({.identity = crash_guard::Identify(
                       "GET", target + std::to_string(server), ""),
                   .service = kDesk,
