--- a/include/basilhoist/knowledge/feed_state.h
+++ b/include/basilhoist/knowledge/feed_state.h
@@ -3,10 +3,19 @@
 
 #include <string>
 
+#include "basilhoist/knowledge/removal_log.h"
 #include "basilhoist/store/object_store.h"
 
 namespace basilhoist {
 
+/// A snapshot that a peer has, with what it saw removed.
+struct offered_snapshot {
+  object_snapshot snapshot;
+  std::vector<removed_object> removed;
+
+  bool operator==(const offered_snapshot&) const = default;
+};
+
 /// What a feed does next.
 struct feed_step {
   enum class action : std::uint8_t { kList, kWatch };
@@ -32,6 +41,9 @@
   /// site register; changes must be in force within three seconds.
   static constexpr milliseconds kGather{300};
   static constexpr milliseconds kLongestGather{900};
+  /// Two answers of a store that answers all the while are not further apart:
+  /// the longest gathering and a slow answer.
+  static constexpr milliseconds kAnswersWithin = 2 * kLongestGather;
 
   [[nodiscard]] feed_step Next() const;
 
@@ -45,7 +57,11 @@
 
   /// Takes a snapshot of a peer if it is newer.
   /// @return whether the snapshot changed
-  bool Offer(const object_snapshot& offered);
+  bool Offer(const offered_snapshot& offered, instant now);
+
+  /// Asks the store no more, as long as peers tell of changes. A watch can
+  /// follow the snapshot later.
+  void Pause();
 
   /// Lists again, since a peer knows more.
   void ListAgain();
@@ -56,9 +72,11 @@
   ///   just before the end may be in no snapshot
   [[nodiscard]] const object_snapshot& Removed() const { return removed_; }
 
-  /// @return when the snapshot before this one was still up to date; the origin
-  ///   of time if there was none
-  [[nodiscard]] instant CurrentBefore() const { return current_before_; }
+  /// @return since when the objects removed last may have been gone
+  [[nodiscard]] instant RemovedSince() const { return removed_since_; }
+
+  /// @return what was removed of earlier snapshots
+  [[nodiscard]] const removal_log& Removals() const { return removals_; }
 
   /// @return whether a snapshot was ever taken
   [[nodiscard]] bool Known() const { return known_; }
@@ -78,9 +96,12 @@
   void SetCurrent(instant now);
   void GatherAfterChanges(instant now);
   bool Commit(object_snapshot taken);
+  void LogRemovals(const object_snapshot& taken);
 
   object_snapshot snapshot_;
   object_snapshot removed_;
+  instant removed_since_;
+  removal_log removals_;
   bool known_ = false;
   bool listing_ = true;
   /// Delay before the next watch; none after one without changes.
@@ -91,9 +112,8 @@
   std::string after_;
   unsigned failures_ = 0;
   instant last_failure_;
-  // Of the last two answers that brought the snapshot up to date.
+  // When an answer of the store last brought the snapshot up to date.
   instant current_at_;
-  instant current_before_;
 };
 
 }  // namespace basilhoist
--- a/include/basilhoist/knowledge/lead_tracker.h
+++ b/include/basilhoist/knowledge/lead_tracker.h
@@ -21,6 +21,7 @@
   bool known = false;    ///< It holds a snapshot.
   bool healthy = false;  ///< The store answered its last call.
   bool listing = false;  ///< A listing is under way.
+  bool reads = true;     ///< It follows the store; else its peers.
 };
 
 /// What to do about a peer's state.
--- a/include/basilhoist/knowledge/object_feed.h
+++ b/include/basilhoist/knowledge/object_feed.h
@@ -17,10 +17,14 @@
   object_feed(event_loop& loop, object_store& store, std::string kind,
               std::function<void(const object_feed&)> on_change);
 
+  /// Reads what the store holds; a cheap answer will do.
   void Start() { Step(); }
 
+  /// Follows the store from now on, or stops once a snapshot is known.
+  void SetReading(bool reads);
+
   /// Takes a snapshot of a peer if it is newer.
-  void Offer(const object_snapshot& offered);
+  void Offer(const offered_snapshot& offered);
 
   /// Lists again at once, since a peer knows more though the store answers.
   void ListAgain();
@@ -29,6 +33,7 @@
   [[nodiscard]] const feed_state& State() const { return state_; }
   /// @return the digest of the snapshot held
   [[nodiscard]] std::uint64_t Digest() const { return digest_; }
+  [[nodiscard]] bool Reads() const { return reads_; }
 
  private:
   void Step();
@@ -43,6 +48,7 @@
   std::function<void(const object_feed&)> on_change_;
   feed_state state_;
   std::uint64_t digest_ = 0;
+  bool reads_ = false;
   std::uint64_t call_ = 0;
   timer_id timer_ = 0;
 };
--- a/include/basilhoist/knowledge/peer_exchange.h
+++ b/include/basilhoist/knowledge/peer_exchange.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "basilhoist/knowledge/peer_table.h"
+#include "basilhoist/knowledge/tell_plan.h"
 #include "basilhoist/link/datagram_socket.h"
 
 namespace basilhoist {
@@ -17,11 +18,9 @@
   /// Between two rounds. Two rounds may be lost before a version that is due
   /// within three seconds is late.
   milliseconds period{500};
-  /// Peers told in one round, drawn at random where there are more.
-  std::size_t fanout = 3;
-  /// Peers told at once of news. Whoever hears it for the first time tells as
-  /// many, so that four steps reach several thousand peers.
-  std::size_t news_fanout = 9;
+  /// Peers passed on in one datagram, so that it fits one packet.
+  std::size_t told = 40;
+  tell_options tell;
   std::uint64_t seed = 1;
 };
 
@@ -29,7 +28,7 @@
 class peer_exchange {
  public:
   struct handlers {
-    /// Fills in what this instance tells; addresses of peers are added.
+    /// Fills in what this instance tells; what it knows of peers is added.
     std::function<void(peer_state&)> fill;
     /// A peer's state arrived.
     std::function<void(const peer_state&)> on_state;
@@ -43,21 +42,34 @@
   /// Adds an address where a peer may be.
   void Know(const endpoint& where);
 
-  /// Tells all peers at once, since something has changed.
-  void TellAll();
-
   /// Tells several peers at once, later in this turn.
   void TellNews();
 
+  /// Tells several peers now.
+  void TellNow() { Tell(true); }
+
+  /// Sets whether this instance follows the store, and whether it hears of a
+  /// reader in its domain; both decide whom it tells.
+  void SetRole(bool reads_store, bool has_reader);
+
   [[nodiscard]] const peer_table& Peers() const { return peers_; }
 
-  /// @return what peers told last, of those that were heard lately
-  [[nodiscard]] std::vector<peer_state> HeardLately() const;
+  /// @return peers that were alive lately
+  [[nodiscard]] std::vector<known_peer> AliveLately() const;
+
+  /// @return bytes told so far, to the own domain and to others
+  [[nodiscard]] std::uint64_t NearBytes() const { return near_bytes_; }
+  [[nodiscard]] std::uint64_t FarBytes() const { return far_bytes_; }
 
  private:
   [[nodiscard]] microseconds UsualInterval() const;
   void Round();
-  void Tell(std::size_t most);
+  void Tell(bool news);
+  void Answer(const peer_state& asked);
+  [[nodiscard]] peer_state OwnState();
+  [[nodiscard]] std::string Message(peer_state state, const std::string& first,
+                                    bool only_first);
+  void Send(const endpoint& to, const std::string& bytes, bool near);
   void OnDatagram(std::string_view bytes);
 
   event_loop& loop_;
@@ -65,7 +77,13 @@
   handlers on_;
   peer_table peers_;
   pcg32 random_;
+  std::uint64_t incarnation_;
+  std::uint64_t beat_ = 0;
+  bool reads_store_ = false;
+  bool has_reader_ = false;
   bool news_waits_ = false;
+  std::uint64_t near_bytes_ = 0;
+  std::uint64_t far_bytes_ = 0;
   datagram_socket socket_;
 };
 
--- a/include/basilhoist/knowledge/snapshot_text.h
+++ b/include/basilhoist/knowledge/snapshot_text.h
@@ -5,19 +5,21 @@
 #include <string>
 #include <string_view>
 
-#include "basilhoist/store/object.h"
+#include "basilhoist/knowledge/feed_state.h"
 
 namespace basilhoist {
 
+/// @param held what the instance has
 /// @param since revision up to which the reader has everything; 0: nothing
-/// @return all names, and the objects that changed later
-std::string FormatSnapshot(const object_snapshot& snapshot,
-                           std::uint64_t since);
+/// @return what has changed later, or all of it if that is not known
+std::string FormatSnapshot(const feed_state& held, std::uint64_t since,
+                           instant now);
 
 /// Reads what FormatSnapshot made.
 /// @param base what the reader has, for the objects that did not change
-/// @return nothing if it cannot be read, or if the base lacks an object
-std::optional<object_snapshot> ParseSnapshot(std::string_view text,
-                                             const object_snapshot& base);
+/// @return nothing if it cannot be read, or if the base lacks earlier changes
+std::optional<offered_snapshot> ParseSnapshot(std::string_view text,
+                                              const object_snapshot& base,
+                                              instant now);
 
 }  // namespace basilhoist
--- a/include/basilhoist/knowledge/suspect_archive.h
+++ b/include/basilhoist/knowledge/suspect_archive.h
@@ -32,7 +32,8 @@
         on_read_(std::move(on_read)) {}
 
   /// Reads what other instances, or earlier runs of this one, have written.
-  void Read() { ReadPage({}); }
+  /// @param may_be_stale a cheap answer will do
+  void Read(bool may_be_stale) { ReadPage({}, may_be_stale); }
 
   /// Writes a report; one of the same request is replaced.
   void Write(const suspect_report& report);
@@ -40,7 +41,7 @@
  private:
   enum class write_call : std::uint8_t { kCreate, kReplace };
 
-  void ReadPage(const std::string& after);
+  void ReadPage(const std::string& after, bool may_be_stale);
   void TakePage(const object_page& page);
   void Put(const object& value, write_call call, instant give_up);
 
--- a/include/basilhoist/link/messages.h
+++ b/include/basilhoist/link/messages.h
@@ -247,18 +247,46 @@
 /// Unit of shares on the wire, where a number always has a meaning.
 inline constexpr double kPermille = 1000;
 
+/// What one instance passes on of another.
+struct told_instance {
+  std::uint32_t address = 0;  ///< IPv4, where it takes datagrams and batches.
+  std::uint16_t port = 0;
+  std::uint16_t processor_permille = 0;  ///< Of a core that it may use.
+  /// Grows while it lives, so that old news of it is told from new.
+  std::uint64_t beat = 0;
+  std::uint32_t quiet_ms = 0;  ///< Its beat has not grown for so long.
+  bool serving = false;        ///< It is ready and not about to end.
+  bool reads_store = false;    ///< It follows the store, which answers it.
+
+  bool operator==(const told_instance&) const = default;
+};
+
+/// Instances of one failure domain.
+struct told_domain {
+  std::string failure_domain;
+  std::vector<told_instance> instances;
+
+  bool operator==(const told_domain&) const = default;
+};
+
 /// What instances tell each other by datagrams.
 struct peer_state {
   std::string name;
   std::uint64_t incarnation = 0;
+  std::uint64_t beat = 0;     ///< As in told_instance.
   std::string address;        ///< "IP:port" where it takes datagrams.
   std::string fetch_address;  ///< "IP:port" where it hands out snapshots.
-  std::string relay_address;  ///< "IP:port" where it takes relayed requests.
   std::string failure_domain;
   std::uint32_t processor_permille = 1000;  ///< Of a core that it may use.
-  bool serving = false;  ///< It is ready and not about to end.
+  bool serving = false;        ///< It is ready and not about to end.
+  bool reads_store = false;    ///< It follows the store itself.
+  bool store_answers = false;  ///< The store answered its last calls.
+  bool joining = false;        ///< It asks for an answer at once.
+  /// Instances that it knows of, and what they may use of processors.
+  std::uint32_t known_instances = 0;
+  std::uint64_t known_permille = 0;
   std::vector<held_snapshot> held;
-  std::vector<std::string> peers;  ///< Addresses of instances it has heard.
+  std::vector<told_domain> told;
   std::vector<suspect_report> suspects;
 
   bool operator==(const peer_state&) const = default;
--- a/include/basilhoist/router/knowledge.h
+++ b/include/basilhoist/router/knowledge.h
@@ -10,6 +10,7 @@
 #include "basilhoist/knowledge/lead_tracker.h"
 #include "basilhoist/knowledge/object_feed.h"
 #include "basilhoist/knowledge/peer_exchange.h"
+#include "basilhoist/knowledge/reader_role.h"
 #include "basilhoist/knowledge/suspect_archive.h"
 #include "basilhoist/router/platform_binding.h"
 #include "basilhoist/router/router_settings.h"
@@ -25,9 +26,8 @@
     /// Requests that crash servers, to tell peers of and as told by them.
     std::function<std::vector<suspect_report>()> suspects;
     std::function<void(const std::vector<suspect_report>&)> on_suspects;
-    /// What peers told last.
-    std::function<void(const std::vector<peer_state>&)> on_peers;
-    /// More or fewer instances share the limits.
+    /// Peers that were alive lately.
+    std::function<void(const std::vector<known_peer>&)> on_peers;
     /// The count of instances, or this one's part, has changed.
     std::function<void(const instance_part&)> on_instances;
   };
@@ -60,20 +60,29 @@
     return feeds_;
   }
   [[nodiscard]] const peer_table& Peers() const { return peers_.Peers(); }
+  [[nodiscard]] const peer_exchange& Exchange() const { return peers_; }
+  [[nodiscard]] bool ReadsStore() const { return role_.Reads(); }
+
+  /// @return the readers of the own failure domain, as this instance sees them
+  [[nodiscard]] reader_view Readers() const;
   [[nodiscard]] std::uint64_t StoreCalls() const { return store_.Calls(); }
 
  private:
-  object_feed& AddFeed(const std::string& kind,
-                       std::function<void(const object_feed&)> on_change);
+  using feed_handler = void (knowledge::*)(const object_feed&);
+
+  void AddFeed(const std::string& kind, feed_handler on_change);
   [[nodiscard]] object_feed* FeedOf(const std::string& kind) const;
   void OnRouting(const object_feed& feed);
   void OnServers(const object_feed& feed);
   void OnEvacuations(const object_feed& feed);
   void Register(bool exists);
-  void ListInstances(const std::string& after);
+  void ListInstances(const std::string& after, bool may_be_stale);
+  void DecideRole();
+  [[nodiscard]] bool StoreAnswers() const;
   void OnPeer(const peer_state& state);
   void Compare(const held_snapshot& theirs, const std::string& fetch_address);
   void Fetch(const std::string& kind, const std::string& fetch_address);
+  void FetchNow(const std::string& kind, const std::string& fetch_address);
   void Fill(peer_state& state) const;
   void CountInstances();
 
@@ -87,7 +96,10 @@
   suspect_archive archive_;
   std::vector<std::unique_ptr<object_feed>> feeds_;
   peer_exchange peers_;
-  std::uint64_t incarnation_;
+  reader_role role_;
+  bool follows_ = false;  // The store, or somebody who does.
+  bool listed_ = false;   // The store has been asked what only readers ask.
+  pcg32 random_;
   std::uint64_t table_version_ = 0;
   bool leaving_ = false;
   instance_part part_;
--- a/scripts/platform_rig.py
+++ b/scripts/platform_rig.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import bisect
 import dataclasses
 import hashlib
@@ -83,6 +84,7 @@
         self.mode = "up"  # up, busy, silent, slow
         self.cut = set()  # its own addresses at which it does not answer
         self.calls = 0
+        self.calls_at = collections.Counter()  # by its own address
         self.writers = set()
 
     def put(self, kind, name, spec):
@@ -118,6 +120,7 @@
         try:
             while (request := await read_request(reader)) is not None:
                 self.calls += 1
+                self.calls_at[called] += 1
                 if self.mode == "silent" or called in self.cut:
                     await asyncio.sleep(SILENCE_S)
                 if self.mode == "slow":
--- a/src/base/endpoint.cc
+++ b/src/base/endpoint.cc
@@ -23,4 +23,17 @@
   return valid ? result : endpoint{};
 }
 
+std::uint32_t AddressNumber(const endpoint& value) {
+  in_addr address{};
+  if (inet_pton(AF_INET, value.address.c_str(), &address) != 1) return 0;
+  return ntohl(address.s_addr);
+}
+
+endpoint EndpointOf(std::uint32_t address, std::uint16_t port) {
+  const in_addr number{.s_addr = htonl(address)};
+  char text[INET_ADDRSTRLEN];
+  inet_ntop(AF_INET, &number, text, sizeof text);
+  return {.address = text, .port = port};
+}
+
 }  // namespace basilhoist
--- a/src/knowledge/feed_state.cc
+++ b/src/knowledge/feed_state.cc
@@ -66,6 +66,10 @@
   SetCurrent(now);
   removed_ = {.revision = events.revision};
   for (const object_event& each : events.events) Take(each);
+  for (const auto& [name, last] : removed_.objects) {
+    removals_.Add(
+        {.last = last, .revision = events.revision, .since = removed_since_});
+  }
   snapshot_.revision = events.revision;
   return !events.events.empty();
 }
@@ -75,14 +79,18 @@
   if (!event.deleted) {
     snapshot_.objects[name] = event.changed;
     removed_.objects.erase(name);
+    removals_.Erase(name);
     return;
   }
   auto last = snapshot_.objects.extract(name);
   if (!last.empty()) removed_.objects[name] = std::move(last.mapped());
 }
 
+// If the store has answered all the while, what is gone may have gone since
+// the answer before; time spent on gathering changes counts.
 void feed_state::SetCurrent(instant now) {
-  current_before_ = std::exchange(current_at_, now);
+  const instant before = std::exchange(current_at_, now);
+  removed_since_ = now - before <= kAnswersWithin ? before : now;
 }
 
 // Changes go on if these came within a delay of the wait's end.
@@ -92,9 +100,24 @@
   last_change_ = now;
 }
 
-bool feed_state::Offer(const object_snapshot& offered) {
-  if (known_ && offered.revision <= snapshot_.revision) return false;
-  return Commit(offered);
+bool feed_state::Offer(const offered_snapshot& offered, instant now) {
+  if (known_ && offered.snapshot.revision <= snapshot_.revision) return false;
+  removed_since_ = now;
+  for (const removed_object& each : offered.removed) {
+    removed_since_ = std::min(removed_since_, each.since);
+  }
+  if (!Commit(offered.snapshot)) return false;
+  for (const removed_object& each : offered.removed) {
+    removed_.objects[each.last.name] = each.last;
+  }
+  return true;
+}
+
+void feed_state::Pause() {
+  if (known_) listing_ = false;
+  after_.clear();
+  failures_ = 0;
+  gather_ = milliseconds(0);
 }
 
 void feed_state::ListAgain() {
@@ -113,10 +136,26 @@
 bool feed_state::Commit(object_snapshot taken) {
   if (known_ && taken.revision < snapshot_.revision) return false;
   const bool changed = !known_ || taken.objects != snapshot_.objects;
+  LogRemovals(taken);
   snapshot_ = std::move(taken);
   removed_ = {};
   known_ = true;
   return changed;
 }
 
+void feed_state::LogRemovals(const object_snapshot& taken) {
+  if (!known_) {
+    removals_.BeginAt(taken.revision);
+    return;
+  }
+  for (const auto& [name, each] : taken.objects) {
+    if (!snapshot_.objects.contains(name)) removals_.Erase(name);
+  }
+  for (const auto& [name, last] : snapshot_.objects) {
+    if (taken.objects.contains(name)) continue;
+    removals_.Add(
+        {.last = last, .revision = taken.revision, .since = removed_since_});
+  }
+}
+
 }  // namespace basilhoist
--- a/src/knowledge/lead_tracker.cc
+++ b/src/knowledge/lead_tracker.cc
@@ -5,7 +5,7 @@
 // A listing that is begun anew with each lead never fails, and a store that
 // does not answer would never be noticed.
 lead_action DecideOnLead(const feed_standing& own, bool ahead, bool overdue) {
-  const bool waits_for_store = !own.healthy || own.listing;
+  const bool waits_for_store = !own.reads || !own.healthy || own.listing;
   if (!own.known || (waits_for_store && ahead)) return lead_action::kFetch;
   if (overdue && !waits_for_store) return lead_action::kListAgain;
   return lead_action::kNothing;
--- a/src/knowledge/object_feed.cc
+++ b/src/knowledge/object_feed.cc
@@ -15,6 +15,10 @@
       on_change_(std::move(on_change)) {}
 
 void object_feed::Step() {
+  if (!reads_ && state_.Known()) {
+    state_.Pause();
+    return;
+  }
   const feed_step step = state_.Next();
   if (step.delay.count() == 0) {
     Call(step);
@@ -22,7 +26,7 @@
   }
   timer_ = loop_.After(step.delay, [this] {
     timer_ = 0;
-    Call(state_.Next());
+    if (reads_ || !state_.Known()) Call(state_.Next());
   });
 }
 
@@ -57,14 +61,27 @@
   Step();
 }
 
-void object_feed::Offer(const object_snapshot& offered) {
-  if (!state_.Offer(offered)) return;
+void object_feed::SetReading(bool reads) {
+  if (reads == reads_) return;
+  reads_ = reads;
+  if (reads) {
+    if (call_ == 0 && timer_ == 0) Step();
+    return;
+  }
+  if (!state_.Known()) return;  // The first listing goes on.
+  if (call_ != 0) store_.Abandon(call_);
+  call_ = 0;
+  state_.Pause();
+}
+
+void object_feed::Offer(const offered_snapshot& offered) {
+  if (!state_.Offer(offered, Now())) return;
   event_line("feed", "taken_from_peer")
       .With("kind", kind_)
-      .With("revision", offered.revision);
+      .With("revision", offered.snapshot.revision);
   Changed();
   // A listing goes on, so that a store which does not answer is noticed.
-  if (!state_.Listing()) Restart();
+  if (!reads_ || !state_.Listing()) Restart();
 }
 
 void object_feed::ListAgain() {
--- a/src/knowledge/peer_exchange.cc
+++ b/src/knowledge/peer_exchange.cc
@@ -1,6 +1,7 @@
 #include "basilhoist/knowledge/peer_exchange.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "basilhoist/link/codec.h"
@@ -9,8 +10,17 @@
 namespace basilhoist {
 namespace {
 
-// Addresses told in one datagram, so that it fits one packet.
-constexpr std::size_t kToldPeers = 16;
+// A beat is the time of day where that is higher, so that it grows on after a
+// restart; a clock that jumps does not turn it back.
+std::uint64_t NextBeat(std::uint64_t beat, std::uint64_t told) {
+  const auto time_of_day =
+      std::chrono::duration_cast<milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count();
+  return std::max(
+      {beat + 1, told + 1,
+       static_cast<std::uint64_t>(std::max<std::int64_t>(0, time_of_day))});
+}
 
 }  // namespace
 
@@ -21,6 +31,7 @@
       on_(std::move(on)),
       peers_(options_.self, options_.processor_permille),
       random_(options_.seed),
+      incarnation_(static_cast<std::uint64_t>(Now().SinceBoot().count())),
       socket_(loop, options_.self,
               [this](std::string_view bytes) { OnDatagram(bytes); }) {}
 
@@ -31,24 +42,28 @@
 
 void peer_exchange::Know(const endpoint& where) { peers_.Know(where, Now()); }
 
-void peer_exchange::TellAll() { Tell(peers_.Addresses().size()); }
-
 void peer_exchange::TellNews() {
   if (std::exchange(news_waits_, true)) return;
   loop_.Post([this] {
     news_waits_ = false;
-    Tell(options_.news_fanout);
+    Tell(true);
   });
 }
 
-std::vector<peer_state> peer_exchange::HeardLately() const {
-  return peers_.HeardLately(Now(), UsualInterval());
+void peer_exchange::SetRole(bool reads_store, bool has_reader) {
+  const bool changed = reads_store != reads_store_;
+  reads_store_ = reads_store;
+  has_reader_ = has_reader;
+  if (changed) TellNews();
+}
+
+std::vector<known_peer> peer_exchange::AliveLately() const {
+  return peers_.AliveLately(Now(), UsualInterval());
 }
 
-// Each peer tells a few of the others in a round.
+// A datagram tells of a part of all peers.
 microseconds peer_exchange::UsualInterval() const {
-  const auto rounds =
-      static_cast<int>(peers_.InstanceCount() / options_.fanout);
+  const auto rounds = static_cast<int>(peers_.InstanceCount() / options_.told);
   return options_.period * std::max(1, rounds);
 }
 
@@ -56,21 +71,66 @@
   for (const endpoint& each : peers_.Forget(Now(), UsualInterval())) {
     event_line("peers", "peer_forgotten").With("peer", Format(each));
   }
-  Tell(options_.fanout);
+  Tell(false);
 }
 
-void peer_exchange::Tell(std::size_t most) {
-  peer_state state{.address = Format(options_.self)};
-  std::vector<endpoint> heard = peers_.Heard();
-  std::shuffle(heard.begin(), heard.end(), random_);
-  heard.resize(std::min(heard.size(), kToldPeers));
-  for (const endpoint& each : heard) state.peers.push_back(Format(each));
+peer_state peer_exchange::OwnState() {
+  beat_ = NextBeat(beat_, peers_.OwnBeatTold());
+  peer_state state{
+      .incarnation = incarnation_,
+      .beat = beat_,
+      .address = Format(options_.self),
+      .failure_domain = options_.tell.failure_domain,
+      .processor_permille = options_.processor_permille,
+      .reads_store = reads_store_,
+      .joining = !has_reader_,
+      .known_instances = static_cast<std::uint32_t>(peers_.InstanceCount()),
+      .known_permille = peers_.KnownPermille()};
   on_.fill(state);
-  const std::string bytes = Encode(state);
-  std::vector<endpoint> targets = peers_.Addresses();
-  std::shuffle(targets.begin(), targets.end(), random_);
-  targets.resize(std::min(targets.size(), most));
-  for (const endpoint& each : targets) socket_.Send(each, bytes);
+  return state;
+}
+
+// Peers that have been quiet for half of the time until they are forgotten are
+// not passed on: those who forget one would take it up again from others.
+std::string peer_exchange::Message(peer_state state, const std::string& first,
+                                   bool only_first) {
+  const microseconds lately =
+      std::max<microseconds>(peer_table::kForgetAfter,
+                             UsualInterval() * peer_table::kForgetBeats) /
+      2;
+  state.told = ChooseTold(peers_, first, only_first, options_.told, lately,
+                          Now(), random_);
+  return Encode(state);
+}
+
+void peer_exchange::Tell(bool news) {
+  const tell_targets targets = PlanTelling(peers_, options_.tell, reads_store_,
+                                           has_reader_, news, random_);
+  const peer_state state = OwnState();
+  const std::string& domain = options_.tell.failure_domain;
+  if (!targets.near.empty()) {
+    const std::string bytes = Message(state, domain, false);
+    for (const endpoint& each : targets.near) Send(each, bytes, true);
+  }
+  if (!targets.far.empty()) {
+    const std::string bytes = Message(state, domain, true);
+    for (const endpoint& each : targets.far) Send(each, bytes, false);
+  }
+}
+
+void peer_exchange::Answer(const peer_state& asked) {
+  peer_state state = OwnState();
+  // Or two instances without readers would answer each other for good.
+  state.joining = false;
+  Send(ParseEndpoint(asked.address),
+       Message(std::move(state), asked.failure_domain, false),
+       asked.failure_domain == options_.tell.failure_domain);
+}
+
+void peer_exchange::Send(const endpoint& to, const std::string& bytes,
+                         bool near) {
+  (near ? near_bytes_ : far_bytes_) += bytes.size();
+  socket_.Send(to, bytes);
 }
 
 void peer_exchange::OnDatagram(std::string_view bytes) {
@@ -84,6 +144,7 @@
   if (taken == peer_table::taken::kFirst) {
     event_line("peers", "peer_heard").With("peer", state->name);
   }
+  if (state->joining) Answer(*state);
   on_.on_state(*state);
 }
 
--- a/src/knowledge/suspect_archive.cc
+++ b/src/knowledge/suspect_archive.cc
@@ -81,18 +81,21 @@
   }
 }
 
-void suspect_archive::ReadPage(const std::string& after) {
+void suspect_archive::ReadPage(const std::string& after, bool may_be_stale) {
   store_.List(
-      kind_, {.after = after},
-      [this, after](call_outcome outcome, const object_page& page) {
+      kind_, {.after = after, .may_be_stale = may_be_stale},
+      [this, after, may_be_stale](call_outcome outcome,
+                                  const object_page& page) {
         if (outcome != call_outcome::kOk) {
           event_line("suspects", "read_failed").With("outcome", Name(outcome));
-          loop_.After(kRetry, [this, after] { ReadPage(after); });
+          loop_.After(kRetry, [this, after, may_be_stale] {
+            ReadPage(after, may_be_stale);
+          });
           return;
         }
         TakePage(page);
         if (page.has_more && !page.objects.empty()) {
-          ReadPage(page.objects.back().name);
+          ReadPage(page.objects.back().name, may_be_stale);
         }
       });
 }
--- a/src/link/codec.cc
+++ b/src/link/codec.cc
@@ -186,10 +186,20 @@
   archive(m.fingerprint, m.answered, m.idle_ms, m.services);
 }
 template <typename Archive>
+void serialize(Archive& archive, told_instance& m) {
+  archive(m.address, m.port, m.processor_permille, m.beat, m.quiet_ms,
+          m.serving, m.reads_store);
+}
+template <typename Archive>
+void serialize(Archive& archive, told_domain& m) {
+  archive(m.failure_domain, m.instances);
+}
+template <typename Archive>
 void serialize(Archive& archive, peer_state& m) {
-  archive(m.name, m.incarnation, m.address, m.fetch_address, m.relay_address,
-          m.failure_domain, m.processor_permille, m.serving, m.held, m.peers,
-          m.suspects);
+  archive(m.name, m.incarnation, m.beat, m.address, m.fetch_address,
+          m.failure_domain, m.processor_permille, m.serving, m.reads_store,
+          m.store_answers, m.joining, m.known_instances, m.known_permille,
+          m.held, m.told, m.suspects);
 }
 
 template <typename Message>
--- a/src/router/knowledge.cc
+++ b/src/router/knowledge.cc
@@ -17,9 +17,11 @@
 // long, and not more often than this for one kind.
 constexpr milliseconds kFetchEvery{400};
 constexpr milliseconds kFetchTimeout{800};
+// All followers of a reader hear of a change at once; they fetch it spread over
+// this time.
+constexpr int kFetchSpreadMs = 60;
 constexpr milliseconds kExpirePeriod{250};
-// The longest gathering and a slow answer.
-constexpr milliseconds kAnswersWithin = 2 * feed_state::kLongestGather;
+constexpr milliseconds kRolePeriod{100};
 constexpr int kHttpOk = 200;
 
 std::uint32_t Permille(double processor_share) {
@@ -47,23 +49,23 @@
       peers_(loop,
              {.self = settings.peer_address,
               .processor_permille = Permille(settings.processor_share),
+              .tell = {.failure_domain = settings.failure_domain},
               .seed = std::hash<std::string>()(settings.name)},
              {.fill = [this](peer_state& state) { Fill(state); },
               .on_state = [this](const peer_state& s) { OnPeer(s); }}),
-      incarnation_(static_cast<std::uint64_t>(Now().SinceBoot().count())) {
-  AddFeed(platform_.kinds.routing,
-          [this](const object_feed& feed) { OnRouting(feed); });
-  AddFeed(platform_.kinds.servers,
-          [this](const object_feed& feed) { OnServers(feed); });
-  AddFeed(platform_.kinds.evacuations,
-          [this](const object_feed& feed) { OnEvacuations(feed); });
+      random_(std::hash<std::string>()(settings.name)) {
+  AddFeed(platform_.kinds.routing, &knowledge::OnRouting);
+  AddFeed(platform_.kinds.servers, &knowledge::OnServers);
+  AddFeed(platform_.kinds.evacuations, &knowledge::OnEvacuations);
 }
 
-object_feed& knowledge::AddFeed(
-    const std::string& kind,
-    std::function<void(const object_feed&)> on_change) {
-  return *feeds_.emplace_back(
-      std::make_unique<object_feed>(loop_, store_, kind, std::move(on_change)));
+void knowledge::AddFeed(const std::string& kind, feed_handler on_change) {
+  feeds_.push_back(std::make_unique<object_feed>(
+      loop_, store_, kind, [this, on_change](const object_feed& feed) {
+        (this->*on_change)(feed);
+        // Others follow this one.
+        if (feed.Reads()) peers_.TellNews();
+      }));
 }
 
 object_feed* knowledge::FeedOf(const std::string& kind) const {
@@ -75,11 +77,13 @@
 
 void knowledge::Start() {
   for (const endpoint& each : settings_.seeds) peers_.Know(each);
-  archive_.Read();
   for (const auto& each : feeds_) each->Start();
-  Register(false);
+  archive_.Read(true);
+  ListInstances({}, true);
   peers_.Start();
   CountInstances();
+  DecideRole();
+  loop_.Every(kRolePeriod, [this] { DecideRole(); });
   loop_.Every(kExpirePeriod, [this] {
     if (directory_.Expire(Now())) {
       event_line("knowledge", "missing_servers_dropped")
@@ -90,14 +94,15 @@
 }
 
 bool knowledge::Ready() const {
-  return table_version_ > 0 && FeedOf(platform_.kinds.servers)->State().Known();
+  return follows_ && table_version_ > 0 &&
+         FeedOf(platform_.kinds.servers)->State().Known();
 }
 
 std::string knowledge::SnapshotText(const std::string& kind,
                                     std::uint64_t since) const {
   const object_feed* feed = FeedOf(kind);
   if (feed == nullptr || !feed->State().Known()) return {};
-  return FormatSnapshot(feed->State().Snapshot(), since);
+  return FormatSnapshot(feed->State(), since, Now());
 }
 
 void knowledge::OnRouting(const object_feed& feed) {
@@ -117,13 +122,8 @@
   if (!removed.objects.empty()) {
     directory_.TakeLast(platform_.contents->Servers(removed));
   }
-  const instant now = Now();
-  // If the store has answered all the while, the grace counts from the answer
-  // before; time spent on gathering changes does not add to it.
-  const instant before = feed.State().CurrentBefore();
-  const bool answered = now - before <= kAnswersWithin;
-  directory_.Apply(platform_.contents->Servers(feed.State().Snapshot()), now,
-                   answered ? before : now);
+  directory_.Apply(platform_.contents->Servers(feed.State().Snapshot()), Now(),
+                   feed.State().RemovedSince());
   event_line("knowledge", "servers_taken")
       .With("count", directory_.Size())
       .With("missing", directory_.MissingCount())
@@ -138,14 +138,43 @@
   directory_.SetEvacuated(std::move(domains));
 }
 
-// Written once a start; a name that exists is replaced.
+reader_view knowledge::Readers() const {
+  return ViewReaders(
+      peers_.Peers(),
+      {.address = settings_.peer_address,
+       .failure_domain = settings_.failure_domain,
+       .processor_permille = Permille(settings_.processor_share)},
+      Now());
+}
+
+void knowledge::DecideRole() {
+  const reader_view view = Readers();
+  const bool before = role_.Reads();
+  const bool reads = role_.Decide(view, Now());
+  // Until then, nothing would tell of a change of what was read at the start.
+  follows_ = follows_ || reads || view.trying > 0;
+  if (reads != before) {
+    event_line("knowledge", reads ? "reads_store" : "follows_readers")
+        .With("readers", view.readers)
+        .With("trying", view.trying);
+    for (const auto& each : feeds_) each->SetReading(reads);
+    if (reads && !std::exchange(listed_, true)) {
+      archive_.Read(false);
+      Register(false);
+    }
+  }
+  peers_.SetRole(reads, view.readers > 0);
+}
+
+// Only readers write their names, for instances that know of no other. A name
+// that exists is replaced.
 void knowledge::Register(bool exists) {
   const object self{
       .name = settings_.name,
       .content = {{"peer_address", Format(settings_.peer_address)}}};
   const auto done = [this, exists](call_outcome outcome, const object&) {
     if (outcome == call_outcome::kOk) {
-      ListInstances({});
+      ListInstances({}, false);
     } else if (outcome == call_outcome::kConflict && !exists) {
       Register(true);
     } else {
@@ -160,12 +189,16 @@
   }
 }
 
-void knowledge::ListInstances(const std::string& after) {
+void knowledge::ListInstances(const std::string& after, bool may_be_stale) {
   store_.List(
-      platform_.kinds.instances, {.after = after},
-      [this, after](call_outcome outcome, const object_page& page) {
+      platform_.kinds.instances, {.after = after, .may_be_stale = may_be_stale},
+      [this, after, may_be_stale](call_outcome outcome,
+                                  const object_page& page) {
         if (outcome != call_outcome::kOk) {
-          loop_.After(kRegisterRetry, [this, after] { ListInstances(after); });
+          // Without an answer, seeds and other readers stand in.
+          if (may_be_stale) return;
+          loop_.After(kRegisterRetry,
+                      [this, after] { ListInstances(after, false); });
           return;
         }
         for (const object& each : page.objects) {
@@ -175,16 +208,16 @@
               ParseEndpoint(each.content.value("peer_address", std::string())));
         }
         CountInstances();
-        peers_.TellAll();
+        peers_.TellNews();
         if (page.has_more && !page.objects.empty()) {
-          ListInstances(page.objects.back().name);
+          ListInstances(page.objects.back().name, may_be_stale);
         }
       });
 }
 
 void knowledge::OnPeer(const peer_state& state) {
   if (!state.suspects.empty()) on_.on_suspects(state.suspects);
-  on_.on_peers(peers_.HeardLately());
+  on_.on_peers(peers_.AliveLately());
   for (const held_snapshot& each : state.held) {
     Compare(each, state.fetch_address);
   }
@@ -201,7 +234,8 @@
   const bool overdue = leads_[theirs.kind].OnPeer(told, Now());
   const feed_standing own{.known = ours.Known(),
                           .healthy = ours.Healthy(),
-                          .listing = ours.Listing()};
+                          .listing = ours.Listing(),
+                          .reads = feed->Reads()};
   switch (DecideOnLead(own, told.Ahead(), overdue)) {
     case lead_action::kNothing:
       return;
@@ -224,6 +258,17 @@
   instant& last = fetched_at_[kind];
   if (last > instant() && now - last < kFetchEvery) return;
   last = now;
+  if (!FeedOf(kind)->State().Known()) {
+    FetchNow(kind, fetch_address);
+    return;
+  }
+  const milliseconds delay(random_(kFetchSpreadMs));
+  loop_.After(delay,
+              [this, kind, fetch_address] { FetchNow(kind, fetch_address); });
+}
+
+void knowledge::FetchNow(const std::string& kind,
+                         const std::string& fetch_address) {
   const feed_state& ours = FeedOf(kind)->State();
   const std::uint64_t since = ours.Known() ? ours.Snapshot().revision : 0;
   http_.Start(
@@ -231,26 +276,26 @@
               "?since=" + std::to_string(since),
        .timeout = kFetchTimeout},
       [this, kind](http_result& result) {
-        if (!result.Answered() || result.Status() != kHttpOk) return;
-        const auto snapshot =
-            ParseSnapshot(result.Body(), FeedOf(kind)->State().Snapshot());
-        if (!snapshot) {
+        if (!result.Answered() || result.Status() != kHttpOk) {
+          fetched_at_[kind] = {};  // Another peer may hand it out at once.
+          return;
+        }
+        const auto offered = ParseSnapshot(
+            result.Body(), FeedOf(kind)->State().Snapshot(), Now());
+        if (!offered) {
           event_line("knowledge", "snapshot_unreadable").With("kind", kind);
           return;
         }
-        FeedOf(kind)->Offer(*snapshot);
+        FeedOf(kind)->Offer(*offered);
       });
 }
 
 void knowledge::Fill(peer_state& state) const {
   state.name = settings_.name;
-  state.incarnation = incarnation_;
   state.fetch_address = Format(settings_.ops_address);
-  state.relay_address = Format(settings_.peer_address);
-  state.failure_domain = settings_.failure_domain;
-  state.processor_permille = Permille(settings_.processor_share);
   state.serving = !leaving_ && Ready();
   state.suspects = on_.suspects();
+  state.store_answers = StoreAnswers();
   for (const auto& each : feeds_) {
     if (!each->State().Known()) continue;
     state.held.push_back({.kind = each->Kind(),
@@ -259,14 +304,20 @@
   }
 }
 
+bool knowledge::StoreAnswers() const {
+  return std::all_of(feeds_.begin(), feeds_.end(), [](const auto& each) {
+    return each->State().Known() && each->State().Healthy();
+  });
+}
+
 void knowledge::Leave() {
   leaving_ = true;
-  peers_.TellAll();
+  peers_.TellNow();
 }
 
 void knowledge::CountInstances() {
   const instance_part part{.instances = peers_.Peers().InstanceCount(),
-                           .part = peers_.Peers().Part()};
+                           .part = peers_.Peers().Part(Now())};
   if (part == part_) return;
   part_ = part;
   on_.on_instances(part);
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -112,8 +112,8 @@
                      shared.OnSuspects(reports);
                    },
                .on_peers =
-                   [this](const std::vector<peer_state>& heard) {
-                     OnPeers(heard);
+                   [this](const std::vector<known_peer>& alive) {
+                     OnPeers(alive);
                    },
                .on_instances =
                    [this](const instance_part& p) { OnInstances(p); }}),
@@ -131,7 +131,7 @@
                                 0.01, 0.02, 0.04, 0.06, 0.08, 0.1, 0.12, 0.15,
                                 0.2, 0.3, 0.5, 1, 2, 5});
     shared.rank_of = [this](std::uint64_t key) {
-      return known.Peers().RankFor(key);
+      return known.Peers().RankFor(key, Now());
     };
     shared.relays = &relays;
     gate.OnLatency([this](microseconds took) {
@@ -156,11 +156,11 @@
         {.header = limits.header_timeout, .idle = limits.idle_timeout});
   }
 
-  void OnPeers(const std::vector<peer_state>& heard) {
+  void OnPeers(const std::vector<known_peer>& alive) {
     std::vector<relay_peer> peers;
-    for (const peer_state& each : heard) {
+    for (const known_peer& each : alive) {
       if (!each.serving) continue;
-      peers.push_back({.relay = ParseEndpoint(each.relay_address),
+      peers.push_back({.relay = each.address,
                        .failure_domain = each.failure_domain,
                        .processor_share = each.processor_permille / kPermille});
     }
@@ -229,6 +229,8 @@
         {"evacuated", directory.Evacuated()},
         {"instances", shared.instances},
         {"part", shared.part},
+        {"reads_store", known.ReadsStore()},
+        {"readers_heard", known.Readers().readers},
         {"requests_in_flight", gate.InFlight()},
         {"caller_connections", callers.Connections()},
         {"feeds", std::move(feeds)}}
@@ -253,7 +255,9 @@
         {"crashes_confirmed", sends.crashes_confirmed},
         {"contained_sends", sends.contained},
         {"connections_opened", pool.Opened()},
-        {"store_calls", known.StoreCalls()}};
+        {"store_calls", known.StoreCalls()},
+        {"told_own_domain_bytes", known.Exchange().NearBytes()},
+        {"told_other_domains_bytes", known.Exchange().FarBytes()}};
     std::vector<prometheus::MetricFamily> families = registry.Collect();
     families.push_back(BarredServers(sends));
     for (const auto& [name, value] : counters) {
--- a/tests/feed_state_test.cc
+++ b/tests/feed_state_test.cc
@@ -119,10 +119,10 @@
         break;
       case 7:
         old_view = store.Snapshot();
-        feed.Offer(old_view);
+        feed.Offer({.snapshot = old_view}, kStart);
         break;
       case 8:
-        feed.Offer(old_view);  // A peer that is behind.
+        feed.Offer({.snapshot = old_view}, kStart);  // A peer that is behind.
         break;
       case 9:
         stale = store;
@@ -214,7 +214,7 @@
   BOOST_TEST(feed.Removed().objects.empty());
 }
 
-BOOST_AUTO_TEST_CASE(ASnapshotIsCurrentUntilTheAnswerBefore) {
+BOOST_AUTO_TEST_CASE(WhatIsGoneMayHaveGoneSinceTheAnswerBefore) {
   fake_store store;
   store.Write("a", 1);
   feed_state feed;
@@ -222,10 +222,10 @@
   feed.OnEvents(call_outcome::kNotDone, {}, kStart + milliseconds(100));
   feed.OnEvents(call_outcome::kOk, *store.Events(feed.Next().revision),
                 kStart + milliseconds(900));
-  BOOST_TEST((feed.CurrentBefore() == kStart));
+  BOOST_TEST((feed.RemovedSince() == kStart));
   feed.OnEvents(call_outcome::kOk, *store.Events(feed.Next().revision),
                 kStart + milliseconds(1800));
-  BOOST_TEST((feed.CurrentBefore() == kStart + milliseconds(900)));
+  BOOST_TEST((feed.RemovedSince() == kStart + milliseconds(900)));
 }
 
 // 280 servers that register one after the other cost each instance 13 calls.
@@ -249,15 +249,32 @@
   BOOST_TEST((feed.Next().delay == feed_state::kGather));
 }
 
+// One that follows its peers and then takes the place of a reader.
+BOOST_AUTO_TEST_CASE(AWatchContinuesFromWhatWasHeardDuringAPause) {
+  fake_store store;
+  store.Write("a", 1);
+  feed_state feed;
+  Answer(feed, store, 9);
+  feed.OnEvents(call_outcome::kNotDone, {}, kStart);
+  feed.Pause();
+  store.Write("a", 2);
+  BOOST_TEST(feed.Offer({.snapshot = store.Snapshot()}, kStart));
+  BOOST_TEST(feed.Healthy());
+  const feed_step next = feed.Next();
+  BOOST_TEST((next.what == feed_step::action::kWatch));
+  BOOST_TEST(next.revision == store.Snapshot().revision);
+  BOOST_TEST((next.delay == milliseconds(0)));
+}
+
 BOOST_AUTO_TEST_CASE(AWatchAfterAPeersSnapshotContinuesFromIt) {
   fake_store store;
   store.Write("a", 1);
   feed_state feed;
   Answer(feed, store, 9);
   store.Write("a", 2);
-  BOOST_TEST(feed.Offer(store.Snapshot()));
+  BOOST_TEST(feed.Offer({.snapshot = store.Snapshot()}, kStart));
   BOOST_TEST(feed.Next().revision == store.Snapshot().revision);
-  BOOST_TEST(!feed.Offer(store.Snapshot()));
+  BOOST_TEST(!feed.Offer({.snapshot = store.Snapshot()}, kStart));
 }
 
 }  // namespace
--- a/tests/lead_tracker_test.cc
+++ b/tests/lead_tracker_test.cc
@@ -44,6 +44,13 @@
   BOOST_TEST((DecideOnLead({}, false, false) == lead_action::kFetch));
 }
 
+BOOST_AUTO_TEST_CASE(WhoDoesNotReadTheStoreTakesNewsFromPeersAtOnce) {
+  const feed_standing follows{.known = true, .healthy = true, .reads = false};
+  BOOST_TEST((DecideOnLead(follows, true, false) == lead_action::kFetch));
+  BOOST_TEST((DecideOnLead(follows, false, false) == lead_action::kNothing));
+  BOOST_TEST((DecideOnLead(follows, false, true) == lead_action::kNothing));
+}
+
 BOOST_AUTO_TEST_CASE(AWatchThatBringsTheChangeIsNotOverdue) {
   lead_tracker tracker;
   BOOST_TEST(!tracker.OnPeer(kAhead, kStart));
--- a/tests/peer_table_test.cc
+++ b/tests/peer_table_test.cc
@@ -12,6 +12,8 @@
 #include <random>
 #include <set>
 
+#include "basilhoist/knowledge/tell_plan.h"
+
 namespace basilhoist {
 namespace {
 
@@ -19,6 +21,7 @@
 constexpr microseconds kRound = milliseconds(500);
 constexpr std::size_t kFanout = 3;
 constexpr std::size_t kMostInstances = 12;
+constexpr milliseconds kMostDelay{3000};
 
 endpoint AddressOf(std::size_t number) {
   return {.address = "10.0.0." + std::to_string(number + 1), .port = 7000};
@@ -41,6 +44,7 @@
     auto& table = tables_[number];
     table.emplace(AddressOf(number));
     heard_at_[number].clear();
+    ++starts_[number];
     // What the store lists: everybody who ever ran.
     listed_.insert(number);
     for (const std::size_t each : listed_) table->Know(AddressOf(each), now_);
@@ -80,17 +84,26 @@
         [&](const auto& entry) { return now_ - entry.second < span; }));
   }
 
+  // When the newest beat of an instance was last taken by anybody.
+  instant NewestTakenAt(const endpoint& where) const {
+    const auto found = newest_.find(Format(where));
+    return found == newest_.end() ? instant() : found->second.second;
+  }
+
   instant Time() const { return now_; }
 
  private:
   void Tell(std::size_t number) {
     peer_table& table = *tables_[number];
     table.Forget(now_, kRound);
-    peer_state state{.address = Format(AddressOf(number))};
-    for (const endpoint& each : table.Heard()) {
-      state.peers.push_back(Format(each));
-    }
-    std::vector<endpoint> targets = table.Addresses();
+    peer_state state{.incarnation = starts_[number],
+                     .beat = ++beats_[number],
+                     .address = Format(AddressOf(number)),
+                     .failure_domain = "d"};
+    state.told = ChooseTold(table, "d", false, kMostInstances,
+                            peer_table::kForgetAfter / 2, now_, draw_);
+    std::vector<endpoint> targets;
+    for (const auto& [where, each] : table.Peers()) targets.push_back(where);
     std::shuffle(targets.begin(), targets.end(), random_);
     targets.resize(std::min(targets.size(), kFanout));
     for (const endpoint& each : targets) {
@@ -115,16 +128,26 @@
       if (each.due > now_) return false;
       auto& table = tables_[each.to];
       if (!table) return true;
-      table->Take(each.state, now_);
-      heard_at_[each.to][each.state.address] = now_;
+      const std::uint64_t beat = each.state.beat;
+      // What was sent before something known already is no sign of life.
+      if (table->Take(each.state, now_) != peer_table::taken::kLate) {
+        heard_at_[each.to][each.state.address] = now_;
+      }
+      // What anybody takes of an instance's newest beat may be passed on.
+      auto& newest = newest_[each.state.address];
+      if (beat >= newest.first) newest = {beat, now_};
       return true;
     });
   }
 
   std::mt19937 random_;
+  pcg32 draw_;
   instant now_ = kStart;
+  std::array<std::uint64_t, kMostInstances> starts_{};
+  std::array<std::uint64_t, kMostInstances> beats_{};
   std::array<std::optional<peer_table>, kMostInstances> tables_;
   std::array<std::map<std::string, instant>, kMostInstances> heard_at_;
+  std::map<std::string, std::pair<std::uint64_t, instant>> newest_;
   std::set<std::size_t> listed_;
   std::deque<datagram> under_way_;
   unsigned lost_percent_ = 0;
@@ -143,8 +166,9 @@
 }
 
 void Disturb(group& all) {
-  all.Disturb(*rc::gen::inRange(0U, 70U),
-              milliseconds(*rc::gen::inRange(0, 3000)));
+  all.Disturb(
+      *rc::gen::inRange(0U, 70U),
+      milliseconds(*rc::gen::inRange<std::int64_t>(0, kMostDelay.count())));
   const auto changes = *rc::gen::container<std::vector<std::size_t>>(
       rc::gen::inRange(std::size_t{0}, kMostInstances));
   for (const std::size_t number : changes) {
@@ -173,21 +197,37 @@
   for (const std::size_t each : running) {
     const peer_table& table = all.TableOf(each);
     RC_ASSERT(table.InstanceCount() == running.size());
-    RC_ASSERT(table.Heard().size() == running.size() - 1);
-    ranks.insert(table.RankFor(42));
+    RC_ASSERT(
+        std::all_of(table.Peers().begin(), table.Peers().end(),
+                    [](const auto& entry) { return entry.second.Heard(); }));
+    ranks.insert(table.RankFor(42, all.Time()));
   }
   // Each instance has a place of its own in the order.
   RC_ASSERT(ranks.size() == running.size());
   RC_ASSERT(*ranks.rbegin() == running.size() - 1);
 }
 
-RC_BOOST_PROP(OnlyWhoWasHeardLatelyIsReliedOn, ()) {
+// A beat reaches everybody within a few rounds of a calm network, and what
+// others keep or the network holds back renews nothing.
+RC_BOOST_PROP(OnlyWhoseBeatGrewLatelyIsReliedOn, ()) {
   group all(*rc::gen::inRange(std::size_t{2}, kMostInstances),
             *rc::gen::arbitrary<unsigned>());
   Disturb(all);
+  const auto ended = *rc::gen::inRange(std::size_t{0}, kMostInstances);
+  if (all.Running().contains(ended) && all.Running().size() > 1) all.End(ended);
+  all.Disturb(0, milliseconds(0));
+  // The last datagrams of one that ended may still be under way.
+  const microseconds spread = kMostInstances * kRound + kMostDelay;
+  RunRounds(all, static_cast<std::size_t>((peer_table::kAliveWithin + spread) /
+                                          kRound));
   for (const std::size_t each : all.Running()) {
-    const auto lately = all.TableOf(each).HeardLately(all.Time(), kRound);
-    RC_ASSERT(lately.size() == all.HeardWithin(each, peer_table::kHeardWithin));
+    const auto lately = all.TableOf(each).AliveLately(all.Time(), kRound);
+    // Nobody living is missed, and nobody who has ended is relied on.
+    RC_ASSERT(lately.size() == all.Running().size() - 1);
+    for (const known_peer& peer : lately) {
+      RC_ASSERT(all.Time() - all.NewestTakenAt(peer.address) <
+                peer_table::kAliveWithin + spread);
+    }
   }
 }
 
@@ -204,7 +244,7 @@
           {.address = Format(AddressOf(j)), .processor_permille = shares[j]},
           kStart);
     }
-    all += table.Part();
+    all += table.Part(kStart);
   }
   RC_ASSERT(std::abs(all - 1) < 1e-9);
 }
@@ -220,7 +260,7 @@
       table.Take({.address = Format(AddressOf(j)), .processor_permille = 250},
                  kStart);
     }
-    all += table.Part();
+    all += table.Part(kStart);
   }
   RC_ASSERT(all <= 1 + 1e-9);
 }
@@ -229,10 +269,46 @@
   peer_table weak(AddressOf(0), 120);
   weak.Take({.address = Format(AddressOf(1)), .processor_permille = 500},
             kStart);
-  BOOST_TEST(std::abs(weak.Part() - 120.0 / 620) < 1e-9);
+  BOOST_TEST(std::abs(weak.Part(kStart) - 120.0 / 620) < 1e-9);
   // One that was not heard counts like the strongest.
   weak.Know(AddressOf(2), kStart);
-  BOOST_TEST(std::abs(weak.Part() - 120.0 / 1120) < 1e-9);
+  BOOST_TEST(std::abs(weak.Part(kStart) - 120.0 / 1120) < 1e-9);
+}
+
+// One that has just started hears one peer that knows of hundreds.
+BOOST_AUTO_TEST_CASE(WhoKnowsFewOthersTakesNoLargerPart) {
+  peer_table table(AddressOf(0), 120);
+  table.Take({.address = Format(AddressOf(1)),
+              .processor_permille = 500,
+              .known_instances = 195,
+              .known_permille = 30000},
+             kStart);
+  BOOST_TEST(std::abs(table.Part(kStart) - 120.0 / 30000) < 1e-9);
+  BOOST_TEST(table.RankFor(42, kStart) >= 194U);
+  // What was told long ago does not count for good.
+  const instant later = kStart + peer_table::kForgetAfter;
+  BOOST_TEST(std::abs(table.Part(later) - 120.0 / 620) < 1e-9);
+  BOOST_TEST(table.RankFor(42, later) <= 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AnOldDatagramThatComesLateChangesNothing) {
+  peer_table table(AddressOf(0));
+  peer_state state{.incarnation = 1,
+                   .beat = 5,
+                   .address = Format(AddressOf(1)),
+                   .serving = false};
+  table.Take(state, kStart);
+  state.beat = 4;
+  state.serving = true;
+  BOOST_TEST((table.Take(state, kStart + milliseconds(10)) ==
+              peer_table::taken::kLate));
+  BOOST_TEST(!table.Peers().begin()->second.serving);
+  // After a restart its own word counts, wherever its beat begins.
+  state.incarnation = 2;
+  state.beat = 1;
+  BOOST_TEST((table.Take(state, kStart + milliseconds(20)) ==
+              peer_table::taken::kAgain));
+  BOOST_TEST(table.Peers().begin()->second.serving);
 }
 
 BOOST_AUTO_TEST_CASE(AnInstanceIsNoPeerOfItself) {
--- a/tests/snapshot_text_test.cc
+++ b/tests/snapshot_text_test.cc
@@ -8,62 +8,143 @@
 namespace basilhoist {
 namespace {
 
-object_snapshot Made(const std::map<std::string, int>& contents,
-                     std::uint64_t revision) {
-  object_snapshot made{.revision = revision};
-  for (const auto& [name, content] : contents) {
-    made.objects[name] = {
-        .name = name, .revision = revision, .content = content};
+const instant kStart{std::chrono::seconds(100)};
+
+// A feed that has listed a snapshot and watches.
+class watched_store {
+ public:
+  explicit watched_store(std::uint64_t revision) : revision_(revision) {
+    feed_.OnPage(call_outcome::kOk, {.revision = revision_}, kStart);
+  }
+
+  void Write(const std::string& name, int content) {
+    Tell({.changed = {
+              .name = name, .revision = ++revision_, .content = content}});
   }
-  return made;
-}
+
+  void Remove(const std::string& name) {
+    if (!feed_.Snapshot().objects.contains(name)) return;
+    Tell({.changed = {.name = name, .revision = ++revision_}, .deleted = true});
+  }
+
+  const feed_state& Feed() const { return feed_; }
+  std::uint64_t Revision() const { return revision_; }
+
+ private:
+  void Tell(object_event event) {
+    now_ = now_ + milliseconds(100);
+    feed_.OnEvents(call_outcome::kOk,
+                   {.events = {std::move(event)}, .revision = revision_}, now_);
+  }
+
+  feed_state feed_;
+  std::uint64_t revision_;
+  instant now_ = kStart;
+};
 
 }  // namespace
 
-// A store's history, of which the reader has seen the first part.
+// A store's history, of which the reader has seen a first part, and holds that
+// or a later one when the text arrives.
 RC_BOOST_PROP(TheReaderHasTheWholeSnapshotInTheEnd, ()) {
   const auto writes = *rc::gen::container<std::vector<int>>(
       *rc::gen::inRange(0, 30), rc::gen::inRange(0, 12));
   const auto seen = *rc::gen::inRange<std::size_t>(0, writes.size() + 1);
-  object_snapshot now;
+  const auto held = *rc::gen::inRange<std::size_t>(seen, writes.size() + 1);
+  const std::uint64_t begun = *rc::gen::inRange(0, 2) == 0 ? 0 : 7;
+  watched_store store(begun);
+  std::uint64_t since = 0;
   object_snapshot base;
-  for (std::size_t i = 0; i < writes.size(); ++i) {
-    if (i == seen) base = now;
+  for (std::size_t i = 0; i <= writes.size(); ++i) {
+    if (i == seen) since = store.Revision();
+    if (i == held) base = store.Feed().Snapshot();
+    if (i == writes.size()) break;
     const std::string name(1, static_cast<char>('a' + writes[i] % 6));
-    ++now.revision;
     if (writes[i] < 9) {
-      now.objects[name] = {
-          .name = name, .revision = now.revision, .content = writes[i]};
+      store.Write(name, writes[i]);
     } else {
-      now.objects.erase(name);
+      store.Remove(name);
     }
   }
-  const auto read = ParseSnapshot(FormatSnapshot(now, base.revision), base);
+  const auto read =
+      ParseSnapshot(FormatSnapshot(store.Feed(), since, kStart), base, kStart);
   RC_ASSERT(read.has_value());
-  RC_ASSERT(read->revision == now.revision);
-  RC_ASSERT(read->objects == now.objects);
+  RC_ASSERT(read->snapshot.revision == store.Feed().Snapshot().revision);
+  RC_ASSERT(read->snapshot.objects == store.Feed().Snapshot().objects);
 }
 
 BOOST_AUTO_TEST_CASE(OnlyChangesAreHandedOver) {
-  object_snapshot now = Made({{"a", 1}, {"b", 1}}, 5);
-  const object_snapshot base = now;
-  now.revision = 6;
-  now.objects["b"] = {.name = "b", .revision = 6, .content = 2};
-  const std::string text = FormatSnapshot(now, base.revision);
+  watched_store store(5);
+  store.Write("a", 1);
+  const std::uint64_t since = store.Revision();
+  store.Write("b", 2);
+  const std::string text = FormatSnapshot(store.Feed(), since, kStart);
   BOOST_TEST(text.find("\"content\":1") == std::string::npos);
   BOOST_TEST(text.find("\"content\":2") != std::string::npos);
 }
 
-BOOST_AUTO_TEST_CASE(ABaseThatLacksAnObjectIsNoBase) {
-  const object_snapshot now = Made({{"a", 1}}, 5);
-  BOOST_TEST(!ParseSnapshot(FormatSnapshot(now, 5), {}).has_value());
-  BOOST_TEST(ParseSnapshot(FormatSnapshot(now, 0), {}).has_value());
+// A drain and the end of the entry in one batch: who hears of it from a peer
+// must learn that the server drained, and since when it may be gone.
+BOOST_AUTO_TEST_CASE(WhatWasRemovedIsHandedOverAsItWasLast) {
+  watched_store store(5);
+  store.Write("a", 1);
+  const object_snapshot base = store.Feed().Snapshot();
+  store.Write("a", 2);
+  store.Remove("a");
+  const instant later = kStart + milliseconds(2000);
+  feed_state follower;
+  follower.Offer({.snapshot = base}, kStart);
+  const auto read = ParseSnapshot(
+      FormatSnapshot(store.Feed(), base.revision, later), base, later);
+  BOOST_REQUIRE(read.has_value());
+  BOOST_REQUIRE(follower.Offer(*read, later));
+  BOOST_TEST(follower.Snapshot().objects.empty());
+  BOOST_REQUIRE(follower.Removed().objects.contains("a"));
+  BOOST_TEST(follower.Removed().objects.at("a").content == 2);
+  BOOST_TEST((follower.RemovedSince() == kStart + milliseconds(200)));
+  // It can hand the removal on.
+  const auto again = ParseSnapshot(
+      FormatSnapshot(follower, base.revision, later), base, later);
+  BOOST_REQUIRE(again.has_value());
+  BOOST_TEST(again->snapshot.objects.empty());
+  BOOST_TEST(again->removed.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(RemovalsThatAreNoLongerKnownAreNotLeftOut) {
+  watched_store store(5);
+  store.Write("kept", 0);
+  store.Write("first", 0);
+  const object_snapshot base = store.Feed().Snapshot();
+  store.Remove("first");
+  for (std::size_t i = 0; i < removal_log::kMost; ++i) {
+    const std::string name = "n" + std::to_string(i);
+    store.Write(name, 1);
+    store.Remove(name);
+  }
+  const auto read = ParseSnapshot(
+      FormatSnapshot(store.Feed(), base.revision, kStart), base, kStart);
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST((read->snapshot.objects == store.Feed().Snapshot().objects));
+}
+
+BOOST_AUTO_TEST_CASE(ABaseThatLacksEarlierChangesIsNoBase) {
+  watched_store store(5);
+  store.Write("a", 1);
+  const auto now = store.Revision();
+  const object_snapshot none{.revision = now - 1};
+  BOOST_TEST(
+      !ParseSnapshot(FormatSnapshot(store.Feed(), now, kStart), none, kStart)
+           .has_value());
+  BOOST_TEST(ParseSnapshot(FormatSnapshot(store.Feed(), 0, kStart), {}, kStart)
+                 .has_value());
 }
 
 BOOST_AUTO_TEST_CASE(WhatCannotBeReadIsNoSnapshot) {
-  for (const char* text : {"", "{", "[]", "{}", R"({"revision":1})",
-                           R"({"revision":1,"objects":[1],"unchanged":[]})"}) {
-    BOOST_TEST(!ParseSnapshot(text, {}).has_value());
+  for (const char* text :
+       {"", "{", "[]", "{}", R"({"revision":1})",
+        R"({"revision":1,"since":0,"objects":[1],"removed":[]})",
+        R"({"revision":1,"since":0,"objects":[],"removed":[{"name":"a"}]})"}) {
+    BOOST_TEST(!ParseSnapshot(text, {}, kStart).has_value());
   }
 }
 
