Bytes without end cannot use up a router's memory

What callers would see: a router of 160 MB ends, and everything on it, when a few servers send a body that never ends, or a relay stops reading. Cause: the bounds were for one buffer (16 MB of a reply, 64 MB unsent to a peer), and a router reads hundreds of replies at once; interim replies were not counted, a reply of the store or of a peer had no bound, and callers' bodies had 8 MB whatever the routing table says.

Change: byte_budget, which all buffers of a kind share: 16 MB for replies being read, 16 MB for links to and from relays, and 64 KB for each in any case. One that asks for more fails like any garbled reply or broken link. Eight interim replies at most; 16 MB for a reply of the store; the table's limit for callers' bodies. Deadlines end what makes useless progress, as before.

Tests: endless_test.py (bodies, chunks, heads, a line, interim replies, noise; memory of each router, answers served in time). Not covered: many callers that send large bodies at once share no budget.

--- a/include/basilhoist/backend/backend_connection.h
+++ b/include/basilhoist/backend/backend_connection.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "basilhoist/backend/request_sender.h"
+#include "basilhoist/base/byte_budget.h"
 #include "basilhoist/link/frame_link.h"
 #include "basilhoist/loop/event_loop.h"
 
@@ -24,10 +25,11 @@
   static constexpr milliseconds kIdleMargin{500};
 
   /// Starts to connect.
+  /// @param replies what all replies that are being read may use of memory
   /// @param on_closed called once when the connection ends, not inside Send
   ///   or Close
   backend_connection(event_loop& loop, const endpoint& to,
-                     std::function<void()> on_closed);
+                     std::function<void()> on_closed, byte_budget& replies);
   ~backend_connection();
   backend_connection(const backend_connection&) = delete;
   backend_connection& operator=(const backend_connection&) = delete;
--- a/include/basilhoist/backend/reply_reader.h
+++ b/include/basilhoist/backend/reply_reader.h
@@ -31,6 +31,10 @@
 /// Takes bytes as they arrive; interim replies are skipped.
 class reply_reader {
  public:
+  /// Servers send one or two before a reply; one that goes on with them sends
+  /// none.
+  static constexpr int kMostInterim = 8;
+
   explicit reply_reader(reply_expectation expected);
   ~reply_reader();
   reply_reader(const reply_reader&) = delete;
@@ -43,6 +47,9 @@
   /// @return kWhole if that is how this reply ends, else kMore
   read_state End();
 
+  /// @return bytes kept of a reply that is not whole
+  [[nodiscard]] std::size_t Buffered() const;
+
   /// @return the reply; only once, when it is whole
   backend_reply Release();
 
--- a/include/basilhoist/http/http_client.h
+++ b/include/basilhoist/http/http_client.h
@@ -18,6 +18,8 @@
   std::vector<std::string> headers;  ///< Each as "Name: value".
   std::string body;
   milliseconds timeout{1000};
+  /// A longer reply body fails the call.
+  std::size_t most_reply_bytes = 16U << 20U;
   std::string local_address;  ///< IP number to send from; empty for any.
   /// Asked when the connection stands, just before the first byte is sent;
   /// false gives the call up unsent. Empty means yes.
--- a/include/basilhoist/http/http_server.h
+++ b/include/basilhoist/http/http_server.h
@@ -55,6 +55,9 @@
   /// Sets how long callers may take, for open connections as well.
   void SetTimeouts(const caller_timeouts& timeouts);
 
+  /// Sets how large a request's body may be, from the next request on.
+  void SetMostBodyBytes(std::size_t bytes);
+
   /// @return connections open now
   [[nodiscard]] unsigned Connections() const;
 
--- a/include/basilhoist/link/frame_link.h
+++ b/include/basilhoist/link/frame_link.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "basilhoist/base/byte_budget.h"
 #include "basilhoist/base/endpoint.h"
 #include "basilhoist/link/messages.h"
 #include "basilhoist/loop/event_loop.h"
@@ -33,6 +34,10 @@
   /// Sends a frame; dropped when the link is closed.
   void Send(frame_kind kind, const std::string& payload);
 
+  /// Counts what waits to be sent or is not whole yet with other links; the
+  /// link breaks when that is more than the budget allows.
+  void ShareMemory(std::shared_ptr<byte_budget> budget);
+
   /// Delays what is sent from now on, to stand for distance in experiments.
   void SetDelay(microseconds delay);
 
--- a/include/basilhoist/relay/relay_links.h
+++ b/include/basilhoist/relay/relay_links.h
@@ -14,6 +14,11 @@
 /// Opens links to relays and takes links of others.
 class relay_links {
  public:
+  /// What waits for relays and their senders, and what has not come whole, may
+  /// use so much memory in all, and on each link so much in any case.
+  static constexpr std::size_t kMostBytes = 16U << 20U;
+  static constexpr std::size_t kBytesAlways = 64U << 10U;
+
   struct handlers {
     /// A frame of an instance that relays through this one.
     std::function<void(const std::shared_ptr<frame_link>&, frame_kind,
@@ -43,6 +48,7 @@
   void Take(const std::shared_ptr<frame_link>& link);
 
   event_loop& loop_;
+  std::shared_ptr<byte_budget> memory_;
   endpoint self_;
   handlers on_;
   std::map<endpoint, std::shared_ptr<frame_link>> outgoing_;
--- a/scripts/platform_rig.py
+++ b/scripts/platform_rig.py
@@ -192,6 +192,19 @@
                 pass
 
 
+# What servers in trouble send without end: what comes first, and again and
+# again.
+ENDLESS = {
+    "endless_body": (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 65536),
+    "endless_chunks": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                       b"\r\n", b"8000\r\n" + b"x" * 32768 + b"\r\n"),
+    "endless_head": (b"HTTP/1.1 200 OK\r\n", b"X-More: 1\r\n" * 400),
+    "endless_line": (b"HTTP/1.1 200 OK\r\nX-More: ", b"x" * 65536),
+    "endless_interim": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 400),
+    "endless_noise": (b"", b"\x00\xff" * 32768),
+}
+POUR_PERIOD_S = 0.004
+
 # A request with this in its target ends each server that begins to run it.
 POISON = "poison"
 # An entry lapses after three status reports that did not come.
@@ -238,6 +251,7 @@
         self.proxy = soak_proxy.Proxy() if rig.proxied else None
         self.ran = []  # (request id, time)
         self.cut_work = 0
+        self.poured = 0  # answers without end that it has begun
         self.writers = set()
 
     async def start(self):
@@ -368,8 +382,19 @@
             work.cancel()
             return False
         gone.cancel()
+        if self.mode in ENDLESS:
+            return await self._pour(writer, *ENDLESS[self.mode])
         return self._reply(writer, request_id, echo, target, body)
 
+    async def _pour(self, writer, head, more):
+        """Sends bytes that are no answer until the router closes."""
+        self.poured += 1
+        writer.write(head)
+        while True:
+            writer.write(more)
+            await writer.drain()
+            await asyncio.sleep(POUR_PERIOD_S)
+
     @staticmethod
     async def _closed(reader):
         while not reader.at_eof():
--- a/src/backend/backend_connection.cc
+++ b/src/backend/backend_connection.cc
@@ -37,13 +37,16 @@
   reply_handler done;
   std::optional<reply_reader> reader;
   instant usable_until;
+  byte_budget& replies;
+  std::size_t held = 0;  // of the budget
 
-  state(event_loop& the_loop, std::function<void()> closed)
+  state(event_loop& the_loop, std::function<void()> closed,
+        byte_budget& the_replies)
       : loop(the_loop),
         on_closed(std::move(closed)),
-        watch(the_loop, [this](bool readable, bool writable) {
-          OnEvent(readable, writable);
-        }) {}
+        watch(the_loop, [this](bool readable,
+                               bool writable) { OnEvent(readable, writable); }),
+        replies(the_replies) {}
 
   void Connect(const endpoint& to) {
     fd = ConnectSocket({}, to);
@@ -125,10 +128,18 @@
     } else if (got == 0) {
       FinishAtEnd();
     } else {
-      Advance(reader->Take({chunk, static_cast<std::size_t>(got)}));
+      Advance(Take({chunk, static_cast<std::size_t>(got)}));
     }
   }
 
+  // A server that sends without end must not use up what others need.
+  read_state Take(std::string_view bytes) {
+    const read_state reached = reader->Take(bytes);
+    if (reached != read_state::kMore) return reached;
+    return replies.Resize(held, reader->Buffered()) ? reached
+                                                    : read_state::kGarbled;
+  }
+
   void Advance(read_state reached) {
     if (reached == read_state::kWhole) Finish();
     if (reached == read_state::kGarbled) Fail(exchange_fault::kGarbled);
@@ -150,12 +161,14 @@
     const auto idle = stated ? *stated - kIdleMargin : kIdleTimeout;
     usable_until = Now() + std::min<microseconds>(idle, kIdleTimeout);
     busy = false;
+    replies.Resize(held, 0);
     const auto handler = std::move(done);
+    backend_reply reply = reader->Release();
     if (!reusable) {
       Shut();
       loop.Post(on_closed);
     }
-    handler(reader->Release());
+    handler(std::move(reply));
   }
 
   void Fail(exchange_fault fault) {
@@ -170,6 +183,8 @@
 
   void Shut() {
     at = phase::kClosed;
+    replies.Resize(held, 0);
+    reader.reset();
     loop.Cancel(connect_timer);
     connect_timer = 0;
     watch.Set(-1, false, false);
@@ -179,8 +194,9 @@
 };
 
 backend_connection::backend_connection(event_loop& loop, const endpoint& to,
-                                       std::function<void()> on_closed)
-    : state_(std::make_unique<state>(loop, std::move(on_closed))) {
+                                       std::function<void()> on_closed,
+                                       byte_budget& replies)
+    : state_(std::make_unique<state>(loop, std::move(on_closed), replies)) {
   state_->Connect(to);
 }
 
--- a/src/backend/backend_pool.cc
+++ b/src/backend/backend_pool.cc
@@ -103,10 +103,11 @@
                                            server_links& links) {
   const std::uint64_t number = ++opened_;
   const std::uint64_t key = server.key;
-  links.links.push_back({.number = number,
-                         .connection = std::make_unique<backend_connection>(
-                             loop_, server.info.address,
-                             [this, key, number] { Remove(key, number); })});
+  links.links.push_back(
+      {.number = number,
+       .connection = std::make_unique<backend_connection>(
+           loop_, server.info.address,
+           [this, key, number] { Remove(key, number); }, replies_)});
   return links.links.back();
 }
 
--- a/src/backend/reply_reader.cc
+++ b/src/backend/reply_reader.cc
@@ -23,6 +23,7 @@
   std::optional<reply_parser> parser;
   std::string input;
   std::optional<std::string> keep_alive;
+  int interim = 0;
 
   void Prepare() {
     parser.emplace();
@@ -73,11 +74,16 @@
     }
     const bool interim = self.parser->get().result_int() / 100 == 1;
     if (!interim) return self.Finish();
+    if (++self.interim > kMostInterim) return read_state::kGarbled;
     self.Prepare();
   }
   return read_state::kMore;
 }
 
+std::size_t reply_reader::Buffered() const {
+  return state_->input.size() + state_->parser->get().body().size();
+}
+
 read_state reply_reader::End() {
   state& self = *state_;
   boost::system::error_code error;
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -50,7 +50,9 @@
 };
 
 size_t OnBody(char* data, size_t size, size_t count, void* into) {
-  static_cast<std::string*>(into)->append(data, size * count);
+  auto& made = *static_cast<transfer*>(into);
+  if (made.body.size() + size * count > made.call.most_reply_bytes) return 0;
+  made.body.append(data, size * count);
   return size * count;
 }
 
@@ -215,7 +217,7 @@
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
                    static_cast<long>(kept.timeout.count()));
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
-  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &made->body);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, made.get());
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnBeforeSend);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, made.get());
   curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &OnSocketMade);
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -167,6 +167,10 @@
   state_->options.timeouts = timeouts;
 }
 
+void http_server::SetMostBodyBytes(std::size_t bytes) {
+  state_->options.max_body_bytes = bytes;
+}
+
 unsigned http_server::Connections() const {
   return static_cast<unsigned>(state_->connections.size());
 }
--- a/src/link/frame_link.cc
+++ b/src/link/frame_link.cc
@@ -52,6 +52,8 @@
   std::string output;
   microseconds delay{0};
   bool flush_posted = false;
+  std::shared_ptr<byte_budget> budget;
+  std::size_t held = 0;  // of the budget
 
   state(event_loop& the_loop, int the_fd, frame_link* self)
       : loop(the_loop), fd(the_fd), watch(the_loop, [self](bool r, bool w) {
@@ -66,7 +68,13 @@
     if (on_closed) on_closed();
   }
 
+  [[nodiscard]] bool WithinBudget() {
+    if (!budget) return true;
+    return budget->Resize(held, fd < 0 ? 0 : input.size() + output.size());
+  }
+
   void Shut() {
+    if (budget) budget->Resize(held, 0);
     watch.Set(-1, false, false);
     if (fd >= 0) close(fd);
     fd = -1;
@@ -80,7 +88,7 @@
     }
     if (fd < 0) return;
     const bool blocked = output.empty() || errno == EAGAIN || errno == ENOTCONN;
-    if (!blocked || output.size() > kMaxUnsentBytes) {
+    if (!blocked || output.size() > kMaxUnsentBytes || !WithinBudget()) {
       Fail();
       return;
     }
@@ -122,6 +130,7 @@
     }
     input.erase(0, used);
     if (input.empty()) GiveBack(input);
+    if (!WithinBudget()) Fail();
   }
 
   void Append(const std::string& bytes) {
@@ -168,6 +177,10 @@
                      [append, frame = std::move(frame)] { append(frame); });
 }
 
+void frame_link::ShareMemory(std::shared_ptr<byte_budget> budget) {
+  state_->budget = std::move(budget);
+}
+
 void frame_link::SetDelay(microseconds delay) { state_->delay = delay; }
 
 void frame_link::Close() { state_->Shut(); }
--- a/src/relay/relay_links.cc
+++ b/src/relay/relay_links.cc
@@ -6,6 +6,7 @@
 
 relay_links::relay_links(event_loop& loop, const endpoint& self, handlers on)
     : loop_(loop),
+      memory_(std::make_shared<byte_budget>(kMostBytes, kBytesAlways)),
       self_(self),
       on_(std::move(on)),
       listener_(loop, self, [this](const auto& link) { Take(link); }) {}
@@ -23,6 +24,7 @@
   const int fd = ConnectSocket({}, relay);
   if (fd < 0) return nullptr;
   auto link = std::make_shared<frame_link>(loop_, fd);
+  link->ShareMemory(memory_);
   link->Open(
       [this, relay](frame_kind kind, std::string_view bytes) {
         on_.on_reply(relay, kind, bytes);
@@ -34,6 +36,7 @@
 
 void relay_links::Take(const std::shared_ptr<frame_link>& link) {
   incoming_.insert(link);
+  link->ShareMemory(memory_);
   const std::weak_ptr<frame_link> weak = link;
   link->Open(
       [this, weak](frame_kind kind, std::string_view bytes) {
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -154,6 +154,7 @@
     const caller_limits& limits = table->Limits();
     callers.SetTimeouts(
         {.header = limits.header_timeout, .idle = limits.idle_timeout});
+    callers.SetMostBodyBytes(limits.max_body_bytes);
   }
 
   void OnPeers(const std::vector<known_peer>& alive) {
--- a/tests/backend_connection_test.cc
+++ b/tests/backend_connection_test.cc
@@ -27,7 +27,10 @@
                        backend_request request = Request()) {
   event_loop loop;
   backend_reply ended;
-  backend_connection connection(loop, server.Address(), [] {});
+  byte_budget replies(backend_pool::kMostReplyBytes,
+                      backend_pool::kReplyBytesAlways);
+  backend_connection connection(
+      loop, server.Address(), [] {}, replies);
   connection.Send(std::move(request), [&](const backend_reply& reply) {
     ended = reply;
     loop.Stop();
@@ -115,7 +118,10 @@
   }
   event_loop loop;
   backend_reply ended;
-  backend_connection connection(loop, nobody, [] {});
+  byte_budget replies(backend_pool::kMostReplyBytes,
+                      backend_pool::kReplyBytesAlways);
+  backend_connection connection(
+      loop, nobody, [] {}, replies);
   connection.Send(Request(), [&](const backend_reply& reply) {
     ended = reply;
     loop.Stop();
@@ -238,7 +244,10 @@
   });
   event_loop loop;
   bool open = true;
-  backend_connection connection(loop, server.Address(), [] {});
+  byte_budget replies(backend_pool::kMostReplyBytes,
+                      backend_pool::kReplyBytesAlways);
+  backend_connection connection(
+      loop, server.Address(), [] {}, replies);
   backend_request request = Request();
   request.body =
       std::make_shared<const std::string>(std::string(64U << 20U, 'x'));
