--- a/scripts/red.py
+++ b/scripts/red.py
@@ -106,9 +106,9 @@
         "replies.Resize(held, reader->Buffered()) ? reached",
         "replies.Resize(held, reader->Buffered()) || true ? reached",
         "endless_test.py"),
-    "followers_hear_of_changes": Mechanism(
+    "followers_hear_at_once": Mechanism(
         "src/knowledge/lead_tracker.cc", "!own.reads || ", "",
-        "reader_test.py"),
+        "lead_tracker_test"),
     "highest_version_wins": Mechanism(
         "src/document/document_table.cc",
         "if (offered.version <= VersionOf(offered.name)) return false;", "",
