The memory of replies counts what buffers have taken, not what they hold

Cause: a string that grows step by step takes up to twice its size, and the budget counted sizes. Ruled out: load (the bound is of memory, not of time). Change: capacities are counted.

--- a/include/basilhoist/backend/reply_reader.h
+++ b/include/basilhoist/backend/reply_reader.h
@@ -47,7 +47,7 @@
   /// @return kWhole if that is how this reply ends, else kMore
   read_state End();
 
-  /// @return bytes kept of a reply that is not whole
+  /// @return bytes of memory that a reply takes which is not whole
   [[nodiscard]] std::size_t Buffered() const;
 
   /// @return the reply; only once, when it is whole
--- a/src/backend/reply_reader.cc
+++ b/src/backend/reply_reader.cc
@@ -81,7 +81,8 @@
 }
 
 std::size_t reply_reader::Buffered() const {
-  return state_->input.size() + state_->parser->get().body().size();
+  // What grows step by step takes up to twice its size.
+  return state_->input.capacity() + state_->parser->get().body().capacity();
 }
 
 read_state reply_reader::End() {
