Log each server's announcement of its shutdown that a relay passes on

Whether an instance knew that a server leaves, and from whom, could not be seen where the word came from a relay. call/server_leaves now names the run, and the source where it is a relay.

--- a/include/basilhoist/dispatch/dispatcher.h
+++ b/include/basilhoist/dispatch/dispatcher.h
@@ -135,6 +135,10 @@
   /// @param extra whether it is a hedged send or a retry
   void OnSent(const listed_server& server, bool extra, instant now);
 
+  /// Records what a relay passes on of a server's announcements.
+  void OnRelayedNotice(const server_notice& notice,
+                       const std::string& request_id, instant now);
+
   /// Applies a rate limit that kept a relay from sending.
   void OnRelayedLimit(const rate_limit_report& limit, instant now);
 
--- a/include/basilhoist/dispatch/server_notices.h
+++ b/include/basilhoist/dispatch/server_notices.h
@@ -62,7 +62,8 @@
   void OnAccepted(std::uint64_t incarnation);
 
   /// Called when a relay passes on a notice of a server.
-  void OnRelayedNotice(const server_notice& notice, instant now);
+  /// @return whether it announces a shutdown and no announcement was in effect
+  bool OnRelayedNotice(const server_notice& notice, instant now);
 
   /// Returns whether an announced shutdown of the server is in effect.
   [[nodiscard]] bool IsShuttingDown(std::uint64_t incarnation,
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -227,6 +227,7 @@
       notices.OnShuttingDown(server.incarnation, now)) {
     event_line("call", "server_leaves")
         .With("server", server.info.id)
+        .With("run", server.incarnation)
         .With("request", request_id);
   }
   const std::string* retry_after = reply.status == kUnavailable
@@ -335,6 +336,15 @@
   ++(extra ? counts.limited_extra_sends : counts.limited_first_sends);
 }
 
+void dispatcher::OnRelayedNotice(const server_notice& notice,
+                                 const std::string& request_id, instant now) {
+  if (!notices.OnRelayedNotice(notice, now)) return;
+  event_line("call", "server_leaves")
+      .With("run", notice.run)
+      .With("source", "relay")
+      .With("request", request_id);
+}
+
 void dispatcher::OnRelayedLimit(const rate_limit_report& limit, instant now) {
   if (rate_limits.OnRelayed(limit, now)) {
     limited_sends.Exhaust(limit.run, now);
--- a/src/dispatch/server_notices.cc
+++ b/src/dispatch/server_notices.cc
@@ -60,10 +60,11 @@
   }
 }
 
-void server_notices::OnRelayedNotice(const server_notice& notice, instant now) {
-  if (!notice.leaving && notice.quiet_ms == 0) return;
+bool server_notices::OnRelayedNotice(const server_notice& notice, instant now) {
+  if (!notice.leaving && notice.quiet_ms == 0) return false;
   RemoveExpired(now);
   record& current = records_[notice.run];
+  const bool is_first = notice.leaving && now >= current.shutting_down_until;
   if (notice.leaving) {
     current.shutting_down_until =
         std::max(current.shutting_down_until, now + kRelayedNoticeLifetime);
@@ -72,6 +73,7 @@
   if (wait > milliseconds(0)) {
     current.paused_until = std::max(current.paused_until, now + wait);
   }
+  return is_first;
 }
 
 bool server_notices::IsShuttingDown(std::uint64_t incarnation,
