--- a/tests/server_notice_test.py
+++ b/tests/server_notice_test.py
@@ -2,6 +2,7 @@
 
 import collections
 import concurrent.futures
+import signal
 import time
 import unittest
 
@@ -79,6 +80,24 @@
     def test_a_leaving_server_gets_nothing_through_relays(self):
         self.check_left_alone(self.rig.of("shard-1")[0], "/all/{}")
 
+    # The others get the server's part, and so its notice, only through relays.
+    def test_a_leaving_server_gets_nothing_after_its_relays_are_lost(self):
+        server = self.rig.of("shard-1")[0]
+        server.leaving = True
+        answers = self.load(2.0, "/all/{}")
+        self.assertTrue(server.said_leaving)
+        self.assertEqual({200}, {status for *_, (status, _, _) in answers})
+        time.sleep(DRAIN_S)
+        relays = [self.rig.ZONES.index(each.zone)
+                  for each in self.rig.of("shard-1")]
+        for relay in relays:
+            self.rig.processes[relay].send_signal(signal.SIGSTOP)
+        late = time.monotonic()
+        self.load(2.0, "/all/{}")
+        for relay in relays:
+            self.rig.processes[relay].send_signal(signal.SIGCONT)
+        self.assertEqual({}, dict(self.by_router(server, late)))
+
     def test_a_leaving_server_whose_entry_lapses_and_returns_gets_nothing(self):
         server = self.rig.of("single")[0]
         server.leaving = True
