A relay tells its sender of servers that announced their shutdown

What callers saw: nothing; a server that had said that it leaves got requests long after. Cause: Server-Leaving is in the headers of an answer. A router that gets a part through a relay passes the answer on, but only the relay sees its headers and told of them only for shards that it could not send at all. When the relay is lost, or misses its 25 ms beside load, the router sends to the server itself, once each. Class: what an answer says of its server stays where the answer was parsed.

Change: each result of a relayed shard carries the notices of the shard's servers (relay_update had the field already, so older builds understand it), and a relayed shutdown applies as long as the server's own, 10 min, not 10 s: the sender has passed on the same answer, and the server may go on for many seconds. What came from a relay only is not passed on again, else two instances would keep it alive for good.

Ruled out for this fault: the store's word (the store is up and silent on it in the test), hedged sends (the trace shows relay_lost before each late request).

--- a/include/basilhoist/dispatch/server_notices.h
+++ b/include/basilhoist/dispatch/server_notices.h
@@ -29,8 +29,9 @@
 advertised_wait ParseRetryAfter(std::string_view text);
 
 /// Keeps notices by server incarnation, for longer than an incarnation may be
-/// missing from the list of servers. Notices apply to this instance only, so
-/// that one wrong reply removes a server from the choice of one instance only.
+/// missing from the list of servers. Notices apply to the instances that passed
+/// on a reply with them, the relay and its sender, so that one wrong reply
+/// removes a server from their choice only.
 class server_notices {
  public:
   /// Longest wait that is honored at once. A server that wants a longer one
@@ -41,8 +42,6 @@
   /// A server that announced its shutdown is tried again after this time. A
   /// drain takes seconds, in rare cases minutes.
   static constexpr milliseconds kShutdownNoticeLifetime{600000};
-  /// How long a relay's notice of a server's shutdown is valid.
-  static constexpr milliseconds kRelayedNoticeLifetime{10000};
   /// After a pause a single request is sent as a probe. If it has no reply
   /// within this time, other requests are sent as well.
   static constexpr milliseconds kProbeTimeout{1000};
@@ -75,13 +74,15 @@
                                     instant now) const;
 
   /// Returns the notice to pass on to an instance that sent a batch here, if
-  /// there is one.
+  /// there is one. A shutdown that another relay announced is not passed on:
+  /// instances that tell each other would never forget it.
   [[nodiscard]] std::optional<server_notice> NoticeFor(
       std::uint64_t incarnation, instant now) const;
 
  private:
   struct record {
     instant shutting_down_until;
+    bool shutdown_relayed = false;  // no reply of the server itself said so
     instant paused_until;
     instant probe_sent_at;       // last request sent since the last pause ended
     bool probe_pending = false;  // no reply since the last pause was requested
--- a/src/dispatch/server_notices.cc
+++ b/src/dispatch/server_notices.cc
@@ -29,6 +29,7 @@
   record& current = records_[incarnation];
   const bool is_first = now >= current.shutting_down_until;
   current.shutting_down_until = now + kShutdownNoticeLifetime;
+  current.shutdown_relayed = false;
   return is_first;
 }
 
@@ -65,9 +66,9 @@
   RemoveExpired(now);
   record& current = records_[notice.run];
   const bool is_first = notice.leaving && now >= current.shutting_down_until;
-  if (notice.leaving) {
-    current.shutting_down_until =
-        std::max(current.shutting_down_until, now + kRelayedNoticeLifetime);
+  if (is_first || (notice.leaving && current.shutdown_relayed)) {
+    current.shutting_down_until = now + kShutdownNoticeLifetime;
+    current.shutdown_relayed = true;
   }
   const milliseconds wait = std::min(milliseconds(notice.quiet_ms), kMaxWait);
   if (wait > milliseconds(0)) {
@@ -98,7 +99,11 @@
 
 std::optional<server_notice> server_notices::NoticeFor(
     std::uint64_t incarnation, instant now) const {
-  const bool shutting_down = IsShuttingDown(incarnation, now);
+  if (records_.empty()) return std::nullopt;
+  const auto found = records_.find(incarnation);
+  if (found == records_.end()) return std::nullopt;
+  const bool shutting_down = now < found->second.shutting_down_until &&
+                             !found->second.shutdown_relayed;
   const instant paused_until = PausedUntil(incarnation, now);
   if (!shutting_down && now >= paused_until) return std::nullopt;
   return server_notice{
--- a/src/relay/relay_server.cc
+++ b/src/relay/relay_server.cc
@@ -78,6 +78,7 @@
  private:
   void OnResult(std::uint32_t shard, call_result result) {
     --unfinished_;
+    AddNotices(shards_.at(shard));
     if (result.outcome == send_outcome::kAnswer) {
       const auto* signature =
           result.reply.Header(dispatcher_.options.names.signature);
@@ -85,7 +86,7 @@
       bodies_.push_back(std::move(result.reply.body));
     } else if (result.sends == 0 && !result.contained) {
       next_update_.not_sent.push_back(shard);
-      AddNotices(shards_.at(shard));
+      AddLimits(shards_.at(shard));
     } else {
       next_update_.failed.push_back(shard);
       next_update_.may_have_run =
@@ -98,8 +99,8 @@
     if (unfinished_ == 0) End();
   }
 
-  // Adds the notices and rate limits of the servers of a shard that was not
-  // sent, so that the sender does not send it to them.
+  // Adds the notices of a shard's servers. The sender does not see the headers
+  // of their answers, and may have to send to them when this relay is lost.
   void AddNotices(const std::string& service) {
     const instant now = Now();
     for (const listed_server_ptr& server :
@@ -107,6 +108,15 @@
       const auto notice =
           dispatcher_.notices.NoticeFor(server->incarnation, now);
       if (notice) next_update_.notices.push_back(*notice);
+    }
+  }
+
+  // Adds the rate limits of the servers of a shard that was not sent, so that
+  // the sender does not send it to them.
+  void AddLimits(const std::string& service) {
+    const instant now = Now();
+    for (const listed_server_ptr& server :
+         dispatcher_.directory.ServersOf(service)) {
       const auto limit =
           dispatcher_.rate_limits.ReportOf(server->incarnation, now);
       if (limit) limits_.push_back(*limit);
--- a/tests/backend_connection_test.cc
+++ b/tests/backend_connection_test.cc
@@ -4,7 +4,9 @@
 // must not be reused.
 #include "basilhoist/backend/backend_connection.h"
 
+#include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <optional>
 
 #include "basilhoist/backend/backend_pool.h"
 #include "scripted_server.h"
@@ -73,6 +75,38 @@
   }
 }
 
+// While a path is cut, the kernel keeps the bytes of a request and would
+// deliver them after the cut, also if the connection was closed meanwhile.
+BOOST_AUTO_TEST_CASE(BytesOfAnAbandonedRequestAreNotDeliveredLater) {
+  constexpr std::size_t kBodyBytes = 2U << 20U;  // more than the server buffers
+  std::atomic<bool> abandoned = false;
+  std::size_t delivered = 0;
+  {
+    const scripted_server server([&](scripted_connection& connection) {
+      while (!abandoned) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+      }
+      delivered = connection.ReadToEnd();
+    });
+    event_loop loop;
+    byte_budget reply_budget(backend_pool::kMaxTotalReplyBytes,
+                             backend_pool::kReservedReplyBytes);
+    std::optional<backend_connection> connection;
+    connection.emplace(loop, server.Address(), [] {}, reply_budget);
+    backend_request request = Request();
+    request.body =
+        std::make_shared<const std::string>(std::string(kBodyBytes, 'x'));
+    connection->Send(std::move(request), [](const backend_reply&) {});
+    loop.After(milliseconds(100), [&] {
+      connection.reset();
+      abandoned = true;
+      loop.Stop();
+    });
+    loop.Run();
+  }
+  BOOST_TEST(delivered < kBodyBytes);
+}
+
 BOOST_AUTO_TEST_CASE(AReplyWithoutALengthEndsWhenItsConnectionCloses) {
   const std::string reply_without_length =
       "HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\nall of it";
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -82,7 +82,10 @@
   fake_sender sender;
   server_directory directory;
   dispatcher dispatch{
-      loop, sender, directory, {.names = {.signature = "X-Proof"}}};
+      loop,
+      sender,
+      directory,
+      {.names = {.signature = "X-Proof", .shutting_down = "X-Leaving"}}};
   relay_server server{dispatch};
   endpoint relay_address = FreeEndpoint();
   bool relay_silent = false;  // the relay ignores all frames
@@ -244,6 +247,25 @@
   BOOST_TEST(updates.empty());
 }
 
+// The sender passes on answers whose headers only the relay has seen. It must
+// not send to a server itself that announced its shutdown in one of them.
+BOOST_FIXTURE_TEST_CASE(ShutdownNoticesReachTheSenderWithTheAnswers, fixture) {
+  Send(2000);
+  RunUntilSent(3);
+  Reply(0, std::string(16, 'a'));
+  sender.sent.at(1).done(
+      {.sent = true,
+       .status = 200,
+       .headers = {{"X-Proof", "p1"}, {"X-Leaving", "1"}}});
+  Reply(2, std::string(16, 'b'));
+  RunUntil([this] { return !updates.empty(); });
+  BOOST_TEST(updates[0].parts.size() == 3U);
+  BOOST_REQUIRE(updates[0].notices.size() == 1U);
+  BOOST_TEST(updates[0].notices[0].leaving);
+  const auto& leaving = directory.ServersOf(sender.sent.at(1).server);
+  BOOST_TEST(updates[0].notices[0].run == leaving.at(0)->incarnation);
+}
+
 // A relay that resumes after a freeze sends results of batches that are lost by
 // then and whose shards were sent directly. Accepting these results would count
 // records twice.
--- a/tests/scripted_server.h
+++ b/tests/scripted_server.h
@@ -35,6 +35,19 @@
     return {};
   }
 
+  /// Reads until the peer closes or resets the connection.
+  /// @return the number of bytes read
+  std::size_t ReadToEnd() {
+    constexpr std::size_t kChunkBytes = 65536;
+    std::string chunk(kChunkBytes, '\0');
+    std::size_t total = 0;
+    while (true) {
+      const auto received = recv(fd_, chunk.data(), chunk.size(), 0);
+      if (received <= 0) return total;
+      total += static_cast<std::size_t>(received);
+    }
+  }
+
   void Send(const std::string& bytes) {
     static_cast<void>(send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL));
   }
--- a/tests/send_block_test.cc
+++ b/tests/send_block_test.cc
@@ -98,19 +98,31 @@
   BOOST_TEST((notices.PausedUntil(kIncarnation, later) <= later));
 }
 
-BOOST_AUTO_TEST_CASE(ARelayedShutdownNoticeExpiresEarly) {
+BOOST_AUTO_TEST_CASE(ARelayedShutdownNoticeAppliesLikeTheServersOwn) {
   server_notices notices;
   notices.OnRelayedNotice(
       {.run = kIncarnation, .leaving = true, .quiet_ms = 500}, kStart);
   BOOST_TEST(notices.IsShuttingDown(kIncarnation, At(1)));
   BOOST_TEST((notices.PausedUntil(kIncarnation, At(1)) == At(500)));
-  BOOST_TEST(!notices.IsShuttingDown(
-      kIncarnation, kStart + server_notices::kRelayedNoticeLifetime));
+  const instant end = kStart + server_notices::kShutdownNoticeLifetime;
+  BOOST_TEST(notices.IsShuttingDown(kIncarnation, end - milliseconds(1)));
+  BOOST_TEST(!notices.IsShuttingDown(kIncarnation, end));
   // A relayed notice does not shorten the server's own.
   notices.OnShuttingDown(kIncarnation, kStart);
   notices.OnRelayedNotice({.run = kIncarnation, .leaving = true}, kStart);
-  BOOST_TEST(notices.IsShuttingDown(
-      kIncarnation, kStart + server_notices::kRelayedNoticeLifetime));
+  BOOST_TEST(notices.IsShuttingDown(kIncarnation, end - milliseconds(1)));
+}
+
+// Instances that told each other what they had only heard would never forget
+// it.
+BOOST_AUTO_TEST_CASE(ARelayedShutdownNoticeIsNotPassedOn) {
+  server_notices notices;
+  notices.OnRelayedNotice({.run = kIncarnation, .leaving = true}, kStart);
+  BOOST_TEST(!notices.NoticeFor(kIncarnation, At(1)));
+  notices.OnShuttingDown(kIncarnation, At(2));
+  notices.OnRelayedNotice({.run = kIncarnation, .leaving = true}, At(3));
+  BOOST_REQUIRE(notices.NoticeFor(kIncarnation, At(4)));
+  BOOST_TEST(notices.NoticeFor(kIncarnation, At(4))->leaving);
 }
 
 // With duplicate and late replies and with jumps in time, no request is sent to
