Watches of the store end in turns, so that a silent time does not outlast itself

Cause: a watch that starts while the store is silent is never answered, and waited 27 s, like one without changes. All readers start theirs together after a change, so all were blind, and no peer was ahead, which is what the detector of stalled watches goes by. Class: waiting for news with no bound on how long no news is believed. Ruled out: the relays' notices (the machine was the caller's own), late delivery (sent 4 ms before).

Change: readers of all domains start one watch of each kind a second, by rank; after a failure a watch waits 1 s. The old product path's watch of documents: 5 s (promise 11 s).

--- a/include/basilhoist/knowledge/feed_state.h
+++ b/include/basilhoist/knowledge/feed_state.h
@@ -28,6 +28,14 @@
   bool operator==(const peer_snapshot&) const = default;
 };
 
+/// Place of an instance among all instances that follow the store.
+struct reader_place {
+  std::size_t readers = 1;  ///< At least one, this instance.
+  std::size_t rank = 0;     ///< From 0.
+
+  auto operator<=>(const reader_place&) const = default;
+};
+
 /// The next call of a feed.
 struct feed_step {
   enum class action : std::uint8_t { kList, kWatch };
@@ -35,6 +43,7 @@
   std::string after;           ///< kList: the page starts after this name.
   bool may_be_stale = false;   ///< kList: a stale page is acceptable.
   std::uint64_t revision = 0;  ///< kWatch: report changes after this one.
+  milliseconds wait{0};        ///< kWatch: how long to wait for a change.
   milliseconds delay{0};       ///< Time to wait before the call.
 
   bool operator==(const feed_step&) const = default;
@@ -63,9 +72,20 @@
   /// throughout: the longest batch delay and a slow answer.
   static constexpr milliseconds kMaxAnswerInterval = 2 * kMaxBatchDelay;
 
+  /// Time between two watches that start, of all readers together. A watch that
+  /// started while the store was silent gets no events afterwards and looks
+  /// like one without changes; the next one to start gets them at once, and
+  /// other readers learn from peers that theirs have stalled.
+  static constexpr milliseconds kWatchSpacing{1000};
+  /// Limit of a watch's wait. Platforms end a watch after 30 s.
+  static constexpr milliseconds kMaxWatchWait{25000};
+
   /// @return the next call to make
   [[nodiscard]] feed_step Next() const;
 
+  /// Sets the place that determines when this instance's watches end.
+  void SetPlace(const reader_place& place) { place_ = place; }
+
   /// Handles the result of a listing call: a page, or a failure.
   /// @return whether the snapshot changed
   bool OnPage(call_outcome outcome, const object_page& page, instant now);
@@ -121,6 +141,7 @@
   [[nodiscard]] instant LastFailure() const { return last_failure_; }
 
  private:
+  [[nodiscard]] milliseconds WatchWait() const;
   void OnFailure(instant now);
   void ApplyEvent(const object_event& event);
   void MarkCurrent(instant now);
@@ -146,6 +167,9 @@
   std::string after_;
   unsigned failures_ = 0;
   instant last_failure_;
+  reader_place place_;
+  // The last watch ended without changes.
+  bool quiet_ = false;
   // The last listing was older than the snapshot.
   bool listing_refused_ = false;
   // When an answer of the store last brought the snapshot up to date.
--- a/include/basilhoist/knowledge/object_feed.h
+++ b/include/basilhoist/knowledge/object_feed.h
@@ -25,6 +25,9 @@
   /// soon as there is a snapshot.
   void SetFollowsStore(bool follows_store);
 
+  /// Sets the place of this instance among the readers, for the next watches.
+  void SetPlace(const reader_place& place) { state_.SetPlace(place); }
+
   /// Replaces the snapshot by a peer's if that is newer.
   void AdoptIfNewer(const peer_snapshot& received);
 
--- a/include/basilhoist/knowledge/reader_role.h
+++ b/include/basilhoist/knowledge/reader_role.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <string>
 
+#include "basilhoist/knowledge/feed_state.h"
 #include "basilhoist/knowledge/peer_table.h"
 
 namespace basilhoist {
@@ -84,4 +85,9 @@
 reader_counts CountReaders(const peer_table& table,
                            const reader_candidate& self, instant now);
 
+/// @return the place of a reader among those of all failure domains that the
+///   store answers, as far as they are known here
+reader_place PlaceAmongReaders(const peer_table& table, const endpoint& self,
+                               instant now);
+
 }  // namespace basilhoist
--- a/include/basilhoist/store/object_store.h
+++ b/include/basilhoist/store/object_store.h
@@ -31,9 +31,6 @@
   /// Timeout of every call but a watch. The store typically answers within
   /// milliseconds, and within a few hundred milliseconds while it is slow.
   milliseconds call_timeout{1500};
-  /// How long a watch waits for a change. It is long because each call costs
-  /// the store, but below the 30 s after which platforms end a watch.
-  milliseconds watch_wait{25000};
   /// IP address to connect from; empty for any.
   std::string local_address;
 };
@@ -52,9 +49,10 @@
                      callback<object_page> done);
 
   /// Waits for changes to objects of a kind after a revision.
+  /// @param wait time after which the store answers without a change
   /// @return the call's id for Abandon()
   std::uint64_t Watch(const std::string& kind, std::uint64_t revision,
-                      callback<object_events> done);
+                      milliseconds wait, callback<object_events> done);
 
   /// Reads one object.
   void Get(const std::string& kind, const std::string& name,
--- a/src/document/document_sync.cc
+++ b/src/document/document_sync.cc
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr microseconds kRetryAfter = milliseconds(300);
+// A watch that starts while the store is silent gets no events after the
+// store's return, so it must end well before a change has to be in force.
+constexpr milliseconds kWatchWait{5000};
 constexpr std::array<std::string_view, 4> kDocuments{
     kConfigDocument, kDrainsDocument, kIndexDocument, kViewDocument};
 
@@ -51,7 +54,7 @@
 }
 
 void document_sync::Watch() {
-  store_.Watch(kind_, revision_,
+  store_.Watch(kind_, revision_, kWatchWait,
                [this](call_outcome outcome, const object_events& seen) {
                  if (!Check(outcome)) return;
                  for (const auto& each : seen.events) {
--- a/src/knowledge/feed_state.cc
+++ b/src/knowledge/feed_state.cc
@@ -18,10 +18,19 @@
   } else {
     step.what = feed_step::action::kWatch;
     step.revision = snapshot_.revision;
+    step.wait = WatchWait();
   }
   return step;
 }
 
+// A change ends the watches of all readers together; their ranks spread the
+// next ones again. After a failure the store is probed by short watches.
+milliseconds feed_state::WatchWait() const {
+  if (failures_ > 0) return kWatchSpacing;
+  const std::size_t turns = quiet_ ? place_.readers : place_.rank + 1;
+  return std::min(kMaxWatchWait, kWatchSpacing * static_cast<int>(turns));
+}
+
 bool feed_state::OnPage(call_outcome outcome, const object_page& page,
                         instant now) {
   if (outcome != call_outcome::kOk) {
@@ -78,6 +87,7 @@
     return false;
   }
   failures_ = 0;
+  quiet_ = events.events.empty();
   // The revision that the watch started from has another content in this era.
   if (events.era > snapshot_.era) {
     Relist();
@@ -211,12 +221,14 @@
 
 void feed_state::Relist() {
   listing_ = true;
+  quiet_ = false;
   after_.clear();
   batch_delay_ = milliseconds(0);
 }
 
 void feed_state::OnFailure(instant now) {
   ++failures_;
+  quiet_ = false;
   last_failure_ = now;
   // The next listing starts over: pages read at different times are not
   // consistent.
--- a/src/knowledge/object_feed.cc
+++ b/src/knowledge/object_feed.cc
@@ -43,7 +43,7 @@
     return;
   }
   call_ = store_.Watch(
-      kind_, step.revision,
+      kind_, step.revision, step.wait,
       [this](call_outcome outcome, const object_events& events) {
         const bool was_healthy = state_.Healthy();
         OnResult(was_healthy, state_.OnEvents(outcome, events, Now()), outcome);
--- a/src/knowledge/reader_role.cc
+++ b/src/knowledge/reader_role.cc
@@ -72,4 +72,17 @@
   return counts;
 }
 
+reader_place PlaceAmongReaders(const peer_table& table, const endpoint& self,
+                               instant now) {
+  reader_place place;
+  const auto own = std::tuple(OrderHash(self), self);
+  for (const auto& [address, peer] : table.Peers()) {
+    if (!peer.is_reader || !peer.SeenAlive()) continue;
+    if (now - peer.alive_at >= peer_table::kAliveWithin) continue;
+    ++place.readers;
+    if (std::tuple(peer.order_hash, address) < own) ++place.rank;
+  }
+  return place;
+}
+
 }  // namespace basilhoist
--- a/src/router/cluster_state.cc
+++ b/src/router/cluster_state.cc
@@ -250,6 +250,9 @@
       Register(false);
     }
   }
+  const reader_place place =
+      PlaceAmongReaders(peers_.Peers(), settings_.peer_address, Now());
+  for (const auto& feed : feeds_) feed->SetPlace(place);
   peers_.SetRole(is_reader, counts.readers > 0);
 }
 
--- a/src/store/object_store.cc
+++ b/src/store/object_store.cc
@@ -152,11 +152,10 @@
 }
 
 std::uint64_t object_store::Watch(const std::string& kind,
-                                  std::uint64_t revision,
+                                  std::uint64_t revision, milliseconds wait,
                                   callback<object_events> done) {
-  return Call({.url = options_.dialect->WatchTarget(kind, revision,
-                                                    options_.watch_wait),
-               .timeout = options_.watch_wait + kWatchMargin},
+  return Call({.url = options_.dialect->WatchTarget(kind, revision, wait),
+               .timeout = wait + kWatchMargin},
               &object_dialect::DecodeEvents, std::move(done));
 }
 
--- a/tests/feed_state_test.cc
+++ b/tests/feed_state_test.cc
@@ -199,6 +199,28 @@
   BOOST_TEST((feed.LastFailure() == kStart));
 }
 
+// A watch that starts while the store is silent gets no events afterwards.
+// Readers that all started theirs together would learn of nothing until these
+// end.
+BOOST_AUTO_TEST_CASE(WatchesOfReadersEndInTurns) {
+  const auto second = feed_state::kWatchSpacing;
+  feed_state state;
+  state.SetPlace({.readers = 4, .rank = 2});
+  state.OnPage(call_outcome::kOk, {.revision = 5}, Now());
+  BOOST_TEST((state.Next().wait == 3 * second));
+  state.OnEvents(call_outcome::kOk, {.revision = 5}, Now());
+  BOOST_TEST((state.Next().wait == 4 * second));
+  state.OnEvents(call_outcome::kOk,
+                 {.events = {{.changed = {.name = "a"}}}, .revision = 6},
+                 Now());
+  BOOST_TEST((state.Next().wait == 3 * second));
+  state.OnEvents(call_outcome::kUnknown, {}, Now());
+  BOOST_TEST((state.Next().wait == second));
+  state.OnEvents(call_outcome::kOk, {.revision = 6}, Now());
+  state.SetPlace({.readers = 200, .rank = 100});
+  BOOST_TEST((state.Next().wait == feed_state::kMaxWatchWait));
+}
+
 BOOST_AUTO_TEST_CASE(RemovedObjectsHaveTheirFinalContent) {
   fake_store store;
   store.Write("a", 1);
