Drop the unsent bytes of requests and batches that are given up

Cause: a request without a reply in time ended by close(), which leaves its bytes to the kernel. Class: work that was given up but is still on its way. The same held for batches at a relay that was given up (relay_links::Disconnect).

Change: a connection with a request in flight, and the link of a lost relay, end with a reset (SO_LINGER 0). Connections without a request close as before.

--- a/include/basilhoist/link/frame_link.h
+++ b/include/basilhoist/link/frame_link.h
@@ -44,6 +44,9 @@
   /// Closes the socket; on_closed does not run.
   void Close();
 
+  /// As Close, but drops what the peer has not received yet.
+  void Abort();
+
   [[nodiscard]] bool IsOpen() const;
 
  private:
@@ -56,6 +59,10 @@
 /// @return a socket, or -1
 int ConnectSocket(const std::string& from, const endpoint& to);
 
+/// Makes the next close of a socket reset the connection, so that the kernel
+/// does not deliver bytes that are still unsent.
+void DropUnsentBytes(int fd);
+
 /// Listens for links of peers.
 class link_listener {
  public:
--- a/include/basilhoist/relay/relay_links.h
+++ b/include/basilhoist/relay/relay_links.h
@@ -44,7 +44,7 @@
   bool Send(const endpoint& relay, frame_kind kind, const std::string& payload);
 
   /// Closes the link to a relay without calling on_relay_disconnected.
-  void Disconnect(const endpoint& relay) { outgoing_.erase(relay); }
+  void Disconnect(const endpoint& relay);
 
  private:
   std::shared_ptr<frame_link> Connect(const endpoint& relay);
--- a/src/backend/backend_connection.cc
+++ b/src/backend/backend_connection.cc
@@ -195,6 +195,9 @@
     loop.Cancel(connect_timer);
     connect_timer = 0;
     watch.Set(-1, false, false);
+    // A request without a reply was given up. Closing alone would leave its
+    // bytes to the kernel, which delivers them when a cut path is back.
+    if (fd >= 0 && busy) DropUnsentBytes(fd);
     if (fd >= 0) close(fd);
     fd = -1;
   }
@@ -236,8 +239,8 @@
 }
 
 void backend_connection::Close() {
-  state_->busy = false;
   state_->Shutdown();
+  state_->busy = false;
 }
 
 bool backend_connection::Idle(instant now) const {
--- a/src/link/frame_link.cc
+++ b/src/link/frame_link.cc
@@ -185,8 +185,18 @@
 
 void frame_link::Close() { state_->Shut(); }
 
+void frame_link::Abort() {
+  if (state_->fd >= 0) DropUnsentBytes(state_->fd);
+  state_->Shut();
+}
+
 bool frame_link::IsOpen() const { return state_->fd >= 0; }
 
+void DropUnsentBytes(int fd) {
+  const linger reset_on_close{.l_onoff = 1, .l_linger = 0};
+  setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset_on_close, sizeof reset_on_close);
+}
+
 int ConnectSocket(const std::string& from, const endpoint& to) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0) return -1;
--- a/src/relay/relay_links.cc
+++ b/src/relay/relay_links.cc
@@ -21,6 +21,15 @@
   return true;
 }
 
+// Batches that the relay has not received must not reach it later: their shards
+// are sent directly.
+void relay_links::Disconnect(const endpoint& relay) {
+  const auto found = outgoing_.find(relay);
+  if (found == outgoing_.end()) return;
+  if (found->second) found->second->Abort();
+  outgoing_.erase(found);
+}
+
 std::shared_ptr<frame_link> relay_links::Connect(const endpoint& relay) {
   const int fd = ConnectSocket({}, relay);
   if (fd < 0) return nullptr;
--- a/tests/backend_connection_test.cc
+++ b/tests/backend_connection_test.cc
@@ -92,7 +92,8 @@
     byte_budget reply_budget(backend_pool::kMaxTotalReplyBytes,
                              backend_pool::kReservedReplyBytes);
     std::optional<backend_connection> connection;
-    connection.emplace(loop, server.Address(), [] {}, reply_budget);
+    connection.emplace(
+        loop, server.Address(), [] {}, reply_budget);
     backend_request request = Request();
     request.body =
         std::make_shared<const std::string>(std::string(kBodyBytes, 'x'));
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -3,6 +3,7 @@
 // answers late.
 #include <rapidcheck/boost_test.h>
 
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 
 #include "basilhoist/link/codec.h"
@@ -10,6 +11,7 @@
 #include "basilhoist/relay/relay_plan.h"
 #include "basilhoist/relay/relay_server.h"
 #include "free_port.h"
+#include "scripted_server.h"
 
 namespace basilhoist {
 namespace {
@@ -253,10 +255,9 @@
   Send(2000);
   RunUntilSent(3);
   Reply(0, std::string(16, 'a'));
-  sender.sent.at(1).done(
-      {.sent = true,
-       .status = 200,
-       .headers = {{"X-Proof", "p1"}, {"X-Leaving", "1"}}});
+  sender.sent.at(1).done({.sent = true,
+                          .status = 200,
+                          .headers = {{"X-Proof", "p1"}, {"X-Leaving", "1"}}});
   Reply(2, std::string(16, 'b'));
   RunUntil([this] { return !updates.empty(); });
   BOOST_TEST(updates[0].parts.size() == 3U);
@@ -266,6 +267,30 @@
   BOOST_TEST(updates[0].notices[0].run == leaving.at(0)->incarnation);
 }
 
+// While a path is cut, the kernel keeps the bytes of a batch and would deliver
+// them after the cut, also if the link was closed meanwhile.
+BOOST_FIXTURE_TEST_CASE(ALostBatchIsNotDeliveredLater, fixture) {
+  constexpr std::size_t kBodyBytes = 2U << 20U;  // more than the relay buffers
+  std::atomic<bool> lost = false;
+  std::size_t delivered = 0;
+  {
+    const test::scripted_server relay([&](test::scripted_connection& link) {
+      while (!lost) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+      delivered = link.ReadToEnd();
+    });
+    outbound_request request;
+    request.body =
+        std::make_shared<const std::string>(std::string(kBodyBytes, 'x'));
+    client->Send({.address = relay.Address(), .failure_domain = "b"}, request,
+                 2, {"s1"},
+                 {.on_update = [](const relay_update&) {},
+                  .on_lost = [this] { ++lost_batches; }});
+    RunUntil([this] { return lost_batches > 0; });
+    lost = true;
+  }
+  BOOST_TEST(delivered < kBodyBytes);
+}
+
 // A relay that resumes after a freeze sends results of batches that are lost by
 // then and whose shards were sent directly. Accepting these results would count
 // records twice.
