A refused connection proves a crash only if other servers accept one

A partition may refuse connections. Class: own failures taken for the state of others.

Change: isolation_monitor. A refusal waits for a sample of up to four other servers, from different failure domains; one that listens lets it count. Failures to connect to three servers within a second take a sample too; if none listens, the instance is isolated, until most of a sample listen again (every 300 ms). The decisions are in isolation_detector, with no I/O. If there is no other server, a refusal counts as before.

BrokenConnectionIsCheckedAndCrashAttributed let all servers refuse and asked for three crashes: that is the fault. Now only the server that lost the request refuses; the old case stands as RefusalsByAllServersAreNoCrashes and asks for none (three before).

--- a/include/basilhoist/directory/server_directory.h
+++ b/include/basilhoist/directory/server_directory.h
@@ -72,6 +72,11 @@
   [[nodiscard]] const std::vector<listed_server_ptr>& ServersOf(
       const std::string& service) const;
 
+  /// @return all listed servers by id
+  [[nodiscard]] const std::map<std::string, listed_server_ptr>& All() const {
+    return by_id_;
+  }
+
   [[nodiscard]] bool IsEvacuated(const listed_server& server) const {
     return evacuated_.contains(server.info.failure_domain);
   }
--- a/include/basilhoist/dispatch/crash_confirmer.h
+++ b/include/basilhoist/dispatch/crash_confirmer.h
@@ -1,5 +1,5 @@
-// Checks whether a server whose connection broke during a request has
-// terminated.
+// Checks whether a server whose connection broke during a request still
+// listens.
 #pragma once
 
 #include <array>
@@ -20,13 +20,10 @@
   static constexpr std::array<milliseconds, 2> kCheckDelays{milliseconds(0),
                                                             milliseconds(200)};
 
-  /// @param on_terminated called with a server whose address refuses
-  ///   connections
+  /// @param on_refused called with a server whose address refuses connections
   crash_confirmer(event_loop& loop, request_sender& sender,
-                  std::function<void(const listed_server&)> on_terminated)
-      : loop_(loop),
-        sender_(sender),
-        on_terminated_(std::move(on_terminated)) {}
+                  std::function<void(const listed_server_ptr&)> on_refused)
+      : loop_(loop), sender_(sender), on_refused_(std::move(on_refused)) {}
 
   /// Called when a send to the server was lost.
   void OnLost(const listed_server_ptr& server);
@@ -36,7 +33,7 @@
 
   event_loop& loop_;
   request_sender& sender_;
-  std::function<void(const listed_server&)> on_terminated_;
+  std::function<void(const listed_server_ptr&)> on_refused_;
   std::set<std::uint64_t> checking_;  // keys of servers
 };
 
--- a/include/basilhoist/dispatch/dispatcher.h
+++ b/include/basilhoist/dispatch/dispatcher.h
@@ -13,6 +13,7 @@
 #include "basilhoist/dispatch/crash_confirmer.h"
 #include "basilhoist/dispatch/crash_guard.h"
 #include "basilhoist/dispatch/header_names.h"
+#include "basilhoist/dispatch/isolation_monitor.h"
 #include "basilhoist/dispatch/rank_cache.h"
 #include "basilhoist/dispatch/retry_budget.h"
 #include "basilhoist/dispatch/retry_time_planner.h"
@@ -28,6 +29,7 @@
 namespace basilhoist {
 
 class relay_client;
+class request_forwarder;
 
 /// Options of a dispatcher.
 struct dispatch_options {
@@ -93,9 +95,16 @@
         directory(the_directory),
         options(std::move(the_options)),
         random(options.seed),
-        confirmer(the_loop, the_sender, [this](const listed_server& server) {
-          OnServerTerminated(server, "refused");
-        }) {}
+        isolation(the_loop, the_sender, the_directory, options.seed,
+                  {.on_change = [](bool) {},
+                   .on_terminated =
+                       [this](const listed_server& server) {
+                         OnServerTerminated(server, "refused");
+                       }}),
+        confirmer(the_loop, the_sender,
+                  [this](const listed_server_ptr& server) {
+                    isolation.OnRefused(server);
+                  }) {}
 
   /// @return the service's settings in the newest routing table, or defaults
   [[nodiscard]] service_settings SettingsOf(const std::string& service) const;
@@ -209,6 +218,9 @@
   routing_table_ptr table;
   /// Sends batches of shards to relays; null if relaying is off.
   relay_client* relays = nullptr;
+  /// Hands requests over to peers while this instance is isolated; null if it
+  /// cannot.
+  request_forwarder* forwarder = nullptr;
   std::size_t instance_count = 1;
   /// This instance's share of the limits that all instances share, 0 to 1.
   double instance_share = 1;
@@ -230,6 +242,8 @@
   shared_rate_limiter limited_tries;  // by hash of the most limited shard
   retry_time_planner retry_times;
   crash_guard crashes;
+  /// Whether this instance reaches the servers at all.
+  isolation_monitor isolation;
   crash_confirmer confirmer;
   /// Called when crashes.NextReports() should be sent to peers at once.
   std::function<void()> on_crash_update = [] {};
--- a/src/dispatch/crash_confirmer.cc
+++ b/src/dispatch/crash_confirmer.cc
@@ -23,7 +23,7 @@
         return;
       }
       checking_.erase(server->key);
-      on_terminated_(*server);
+      on_refused_(server);
     });
   });
 }
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -373,7 +373,11 @@
     crashes.OnLost(send, now);
     confirmer.OnLost(server);
   } else if (reply.error == exchange_error::kRefused) {
-    OnServerTerminated(*server, "refused");
+    isolation.OnRefused(server);
+  }
+  if (reply.error == exchange_error::kRefused ||
+      reply.error == exchange_error::kNotConnected) {
+    isolation.OnConnectFailed(*server);
   }
 }
 
--- a/tests/crash_guard_test.cc
+++ b/tests/crash_guard_test.cc
@@ -340,7 +340,8 @@
   sender.script = std::move(script);
   std::size_t terminations = 0;
   crash_confirmer confirmer(
-      loop, sender, [&terminations](const listed_server&) { ++terminations; });
+      loop, sender,
+      [&terminations](const listed_server_ptr&) { ++terminations; });
   const auto server = std::make_shared<listed_server>();
   for (int i = 0; i < losses; ++i) confirmer.OnLost(server);
   loop.After(2 * crash_confirmer::kCheckDelays.back(),
--- a/tests/service_call_test.cc
+++ b/tests/service_call_test.cc
@@ -53,9 +53,10 @@
   bool CanSend(const listed_server& server, unsigned) const override {
     return !without_connection.contains(server.info.id);
   }
-  void CheckListening(const listed_server&,
+  void CheckListening(const listed_server& server,
                       listen_check::handler done) override {
-    done(check_result);
+    done(refusing.contains(server.info.id) ? listen_state::kRefused
+                                           : check_result);
   }
   void Abandon(std::uint64_t id) override {
     sent[id - 1].done = nullptr;
@@ -72,6 +73,7 @@
   std::vector<std::uint64_t> abandoned;
   std::set<std::string> without_connection;  // ids of servers
   listen_state check_result = listen_state::kListening;
+  std::set<std::string> refusing;  // ids of servers
 };
 
 struct fixture {
@@ -423,11 +425,11 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(BrokenConnectionIsCheckedAndCrashAttributed, fixture) {
-  sender.check_result = listen_state::kRefused;
   std::size_t updates = 0;
   dispatch.on_crash_update = [&updates] { ++updates; };
   for (int i = 0; i < 3; ++i) {
     StartCall(false, 1);
+    sender.refusing = {sender.sent.back().server};
     sender.Reply(sender.sent.size() - 1, Broken());
     RunFor(5);
     dispatch.stats = {};
@@ -437,6 +439,24 @@
   BOOST_TEST(dispatch.crashes.Refuses({.exact = 0}));
 }
 
+// A partition may refuse the connections to all servers. Requests in flight
+// were then reported as crashing servers, and refused by all instances.
+BOOST_FIXTURE_TEST_CASE(RefusalsByAllServersAreNoCrashes, fixture) {
+  sender.check_result = listen_state::kRefused;
+  std::size_t updates = 0;
+  dispatch.on_crash_update = [&updates] { ++updates; };
+  for (int i = 0; i < 3; ++i) {
+    StartCall(false, 1);
+    sender.Reply(sender.sent.size() - 1, Broken());
+    RunFor(5);
+    dispatch.stats = {};
+    SetServers({"a" + std::to_string(i), "b" + std::to_string(i)});
+  }
+  BOOST_TEST(updates == 0U);
+  BOOST_TEST(!dispatch.crashes.Refuses({.exact = 0}));
+  BOOST_TEST(dispatch.isolation.Isolated());
+}
+
 std::size_t CrashUpdatesOnRemoval(dispatcher& dispatch,
                                   const listed_server& server) {
   std::size_t updates = 0;
