Isolated instances hand callers' requests over to peers

Cause: shards of the own domain, batches of fewer than three and requests to one server had no way but the instance's own links. Ruled out: avoidance of servers and the wait for time-outs as the cause (they only decide whether the failure is a 502 at once or a 504).

Change: while isolation_monitor says isolated, a request goes whole to a peer (request_forwarder, peer_request), chosen by chance among serving peers, stronger ones more often; the peer (forward_server) handles it as its own caller's, within the time that is left, and returns the answer. One hop: an isolated instance, one that stops, and one with 128 x cores such requests rejects at once, and another peer is tried, three at most; then 503 with a time. A lost peer may have run the request: an idempotent one goes to another peer, others end as 502. A caller that leaves cancels it. An isolated instance returns relayed batches at once, tells peers that it is not serving, and is ready as long as it has a peer. Weighed: shards through peers (nothing for unsafe requests, and merging twice); closing the listener (a refused connection is a failed try, and where all of a zone is cut off nobody is left there).

--- /dev/null
+++ b/include/basilhoist/relay/peer_request.h
@@ -0,0 +1,15 @@
+// A caller's request that is handed over to a peer.
+#pragma once
+
+#include "basilhoist/dispatch/active_request.h"
+#include "basilhoist/relay/request_forwarder.h"
+
+namespace basilhoist {
+
+/// Creates a request that a peer handles. A peer that rejects it is replaced by
+/// another one; a lost peer only if the request is idempotent.
+std::shared_ptr<active_request> MakePeerRequest(
+    dispatcher& the_dispatcher, request_forwarder& forwarder,
+    routed_request request, request_outcome_handler on_outcome);
+
+}  // namespace basilhoist
--- a/include/basilhoist/relay/relay_client.h
+++ b/include/basilhoist/relay/relay_client.h
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -72,6 +74,12 @@
     on_rate_limit_ = std::move(handler);
   }
 
+  /// Sets the handler for relays that do not answer or whose link closed; what
+  /// was sent to one over its link is lost.
+  void OnRelayLost(std::function<void(const endpoint&)> handler) {
+    on_relay_lost_ = std::move(handler);
+  }
+
   /// Replaces the list of instances that accept batches.
   void SetPeers(std::vector<relay_peer> peers) { peers_ = std::move(peers); }
 
@@ -89,6 +97,24 @@
   ///   of this one
   [[nodiscard]] std::set<std::string> UsableDomains() const;
 
+  /// Chooses a peer of any failure domain for a whole request, by chance, but
+  /// stronger ones more often.
+  /// @param excluded peers that are not to be chosen
+  /// @param chance a random number from 0 to less than 1
+  /// @return the peer, or nothing if none is usable
+  [[nodiscard]] std::optional<relay_peer> ChoosePeer(
+      const std::set<endpoint>& excluded, double chance) const;
+
+  /// Gives up a relay that does not answer, or rejects all that it gets, for
+  /// kFailureBackoff.
+  /// @param cause for the log
+  void FailRelay(const endpoint& relay, const char* cause);
+
+  /// As FailRelay, but keeps its link and the batches on it.
+  void AvoidRelay(const endpoint& relay) {
+    backoff_until_[relay] = Now() + kFailureBackoff;
+  }
+
   /// Sends a batch.
   /// @param max_records limit on the merged records in each update
   /// @return its id, for Cancel; 0 if no link to the relay could be opened
@@ -108,12 +134,13 @@
   struct batch {
     endpoint relay;
     batch_handlers on;
+    std::size_t shards = 0;
     timer_id accept_timer = 0;
   };
 
   [[nodiscard]] std::vector<relay_peer> UsableRelays(
       const std::string& failure_domain) const;
-  void FailRelay(const endpoint& relay, const char* cause);
+  [[nodiscard]] bool IsAvoided(const endpoint& relay, instant now) const;
 
   event_loop& loop_;
   relay_links& links_;
@@ -124,6 +151,7 @@
   std::uint64_t last_id_ = 0;
   std::function<void(const rate_limit_report&)> on_rate_limit_ =
       [](const rate_limit_report&) {};
+  std::function<void(const endpoint&)> on_relay_lost_ = [](const endpoint&) {};
 };
 
 }  // namespace basilhoist
--- a/include/basilhoist/relay/relay_server.h
+++ b/include/basilhoist/relay/relay_server.h
@@ -36,6 +36,8 @@
 
   void Accept(const std::shared_ptr<frame_link>& link,
               const relay_request& request);
+  static void Reject(const std::shared_ptr<frame_link>& link,
+                     const relay_request& request);
   void Cancel(const batch_key& key);
 
   dispatcher& dispatcher_;
--- a/include/basilhoist/router/cluster_state.h
+++ b/include/basilhoist/router/cluster_state.h
@@ -59,6 +59,10 @@
   /// restart too.
   void StoreSuspect(const suspect_report& report);
 
+  /// Tells peers whether this instance reaches the backend servers. While it
+  /// does not, they send it no batches or requests.
+  void SetIsolated(bool isolated);
+
   /// Reports to peers that this router is shutting down.
   void AnnounceShutdown();
 
@@ -152,6 +156,7 @@
   pcg32 random_;
   std::uint64_t table_version_ = 0;
   bool shutting_down_ = false;
+  bool isolated_ = false;
   instance_share share_;
   // By kind: whether a peer has held a newer revision for too long.
   std::map<std::string, stalled_watch_detector> watch_detectors_;
--- a/include/basilhoist/router/request_handler.h
+++ b/include/basilhoist/router/request_handler.h
@@ -20,6 +20,10 @@
   std::uint64_t refused = 0;           ///< Not sent to any server.
   std::uint64_t failed = 0;  ///< Accepted, but answered with a 5xx status.
   std::uint64_t callers_gone = 0;  ///< The caller closed the connection.
+  /// Handed over to a peer, because no server could be reached from here.
+  std::uint64_t handed_over = 0;
+  /// Taken over from peers.
+  std::uint64_t taken_over = 0;
 };
 
 /// Refuses requests, or keeps them in flight until they are answered.
@@ -29,7 +33,15 @@
       : dispatcher_(the_dispatcher) {}
 
   /// Handles a request; sends exactly one answer, now or later.
-  void Handle(const std::shared_ptr<http_exchange>& exchange);
+  void Handle(const std::shared_ptr<http_exchange>& exchange) {
+    Handle(exchange, false);
+  }
+
+  /// As Handle, for a request that an isolated peer has handed over. It is not
+  /// handed over again.
+  void HandleForwarded(const std::shared_ptr<http_exchange>& exchange) {
+    Handle(exchange, true);
+  }
 
   /// Answers all requests in flight as if their deadlines had passed.
   void ExpireAll();
@@ -68,7 +80,11 @@
   /// @param wait time that the caller waits for this attempt
   /// @return time that the caller has spent on earlier attempts
   microseconds TimeSpentBefore(const route& matched, milliseconds wait);
-  void StartRequest(routed_request request);
+  void Handle(const std::shared_ptr<http_exchange>& exchange, bool forwarded);
+  void StartRequest(routed_request request, bool forwarded);
+  [[nodiscard]] std::shared_ptr<active_request> MakeRequest(
+      routed_request request, bool forwarded,
+      request_outcome_handler on_outcome);
   /// Counts and logs the end of a request.
   void OnEnd(std::uint64_t id, const std::string& request_id,
              const std::string& route_name, std::uint64_t version,
--- a/src/relay/relay_client.cc
+++ b/src/relay/relay_client.cc
@@ -15,8 +15,7 @@
   double max_cores = 0;
   for (const relay_peer& peer : peers_) {
     if (peer.failure_domain != failure_domain) continue;
-    const auto backoff = backoff_until_.find(peer.address);
-    if (backoff != backoff_until_.end() && now < backoff->second) continue;
+    if (IsAvoided(peer.address, now)) continue;
     usable.push_back(peer);
     max_cores = std::max(max_cores, peer.cpu_cores);
   }
@@ -29,6 +28,32 @@
   return usable;
 }
 
+bool relay_client::IsAvoided(const endpoint& relay, instant now) const {
+  const auto backoff = backoff_until_.find(relay);
+  return backoff != backoff_until_.end() && now < backoff->second;
+}
+
+std::optional<relay_peer> relay_client::ChoosePeer(
+    const std::set<endpoint>& excluded, double chance) const {
+  const instant now = Now();
+  std::vector<const relay_peer*> usable;
+  double total = 0;
+  for (const relay_peer& peer : peers_) {
+    if (excluded.contains(peer.address) || IsAvoided(peer.address, now)) {
+      continue;
+    }
+    usable.push_back(&peer);
+    total += peer.cpu_cores;
+  }
+  double left = chance * total;
+  for (const relay_peer* peer : usable) {
+    left -= peer->cpu_cores;
+    if (left < 0) return *peer;
+  }
+  if (usable.empty()) return std::nullopt;
+  return *usable.back();
+}
+
 std::vector<relay_peer> relay_client::ChooseRelays(
     const std::string& failure_domain, std::size_t shard_count,
     std::size_t rotation) const {
@@ -59,6 +84,7 @@
                                  std::vector<std::string> shards,
                                  batch_handlers on) {
   const instant now = Now();
+  const std::size_t shard_count = shards.size();
   const std::uint64_t id = ++last_id_;
   const relay_request message{
       .id = id,
@@ -82,8 +108,10 @@
   const timer_id timer = loop_.After(kAcceptTimeout, [this, address] {
     FailRelay(address, "not_taken_in_time");
   });
-  batches_.emplace(
-      id, batch{.relay = address, .on = std::move(on), .accept_timer = timer});
+  batches_.emplace(id, batch{.relay = address,
+                             .on = std::move(on),
+                             .shards = shard_count,
+                             .accept_timer = timer});
   return id;
 }
 
@@ -114,10 +142,15 @@
   }
   const auto found = batches_.find(update->id);
   if (found == batches_.end() || found->second.relay != relay) return;
-  loop_.Cancel(std::exchange(found->second.accept_timer, 0));
+  const timer_id accept_timer = std::exchange(found->second.accept_timer, 0);
+  loop_.Cancel(accept_timer);
   const bool only_accepted = update->parts.empty() && update->failed.empty() &&
                              update->not_sent.empty();
   if (only_accepted) return;
+  // A batch that is returned without having been accepted was rejected.
+  if (accept_timer != 0 && update->not_sent.size() == found->second.shards) {
+    AvoidRelay(relay);
+  }
   // Copied, since the handler may cancel the batch and so destroy it.
   const auto on_update = found->second.on.on_update;
   on_update(*update);
@@ -147,6 +180,7 @@
     batches_.erase(found);
     on_lost();
   }
+  on_relay_lost_(relay);
 }
 
 }  // namespace basilhoist
--- a/src/relay/relay_server.cc
+++ b/src/relay/relay_server.cc
@@ -200,6 +200,10 @@
 // remove a batch before it is sent.
 void relay_server::Accept(const std::shared_ptr<frame_link>& link,
                           const relay_request& request) {
+  if (dispatcher_.isolation.Isolated()) {
+    Reject(link, request);
+    return;
+  }
   const batch_key key{link.get(), request.id};
   const auto task = std::make_shared<batch_task>(
       dispatcher_, link, request, [this, key] { active_.erase(key); });
@@ -212,6 +216,17 @@
   });
 }
 
+// An isolated instance returns batches at once, while the sender still has time
+// to send the shards itself.
+void relay_server::Reject(const std::shared_ptr<frame_link>& link,
+                          const relay_request& request) {
+  relay_update update{.id = request.id};
+  for (std::uint32_t i = 0; i < request.shards.size(); ++i) {
+    update.not_sent.push_back(i);
+  }
+  link->Send(frame_kind::kRelayUpdate, Encode(update));
+}
+
 void relay_server::Cancel(const batch_key& key) {
   const auto found = active_.find(key);
   if (found == active_.end()) return;
--- a/src/router/cluster_state.cc
+++ b/src/router/cluster_state.cc
@@ -410,7 +410,7 @@
 void cluster_state::FillOwnState(peer_state& state) const {
   state.name = settings_.name;
   state.fetch_address = Format(settings_.ops_address);
-  state.serving = !shutting_down_ && Ready();
+  state.serving = !shutting_down_ && !isolated_ && Ready();
   state.suspects = callbacks_.suspects_to_report();
   state.store_answers = StoreAnswers();
   for (const auto& feed : feeds_) {
@@ -438,6 +438,11 @@
   peers_.GossipNow();
 }
 
+void cluster_state::SetIsolated(bool isolated) {
+  isolated_ = isolated;
+  peers_.GossipNow();
+}
+
 void cluster_state::UpdateInstances() {
   const instance_share share{.instance_count = peers_.Peers().InstanceCount(),
                              .share = peers_.Peers().Share(Now())};
--- a/src/router/request_handler.cc
+++ b/src/router/request_handler.cc
@@ -8,6 +8,7 @@
 
 #include "basilhoist/http/field_syntax.h"
 #include "basilhoist/ops/event_line.h"
+#include "basilhoist/relay/peer_request.h"
 
 namespace basilhoist {
 namespace {
@@ -93,8 +94,10 @@
 
 }  // namespace
 
-void request_handler::Handle(const std::shared_ptr<http_exchange>& exchange) {
+void request_handler::Handle(const std::shared_ptr<http_exchange>& exchange,
+                             bool forwarded) {
   ++counts_.requests;
+  if (forwarded) ++counts_.taken_over;
   const routing_table_ptr table = dispatcher_.table;
   const route* matched =
       table ? table->Find(exchange->Header("Host"), exchange->Target())
@@ -112,7 +115,7 @@
     exchange->Reply(std::move(refused->reply));
     return;
   }
-  StartRequest(Prepare(exchange, *matched));
+  StartRequest(Prepare(exchange, *matched), forwarded);
 }
 
 std::optional<request_handler::refusal> request_handler::Check(
@@ -242,7 +245,26 @@
   return head;
 }
 
-void request_handler::StartRequest(routed_request request) {
+std::shared_ptr<active_request> request_handler::MakeRequest(
+    routed_request request, bool forwarded,
+    request_outcome_handler on_outcome) {
+  if (!forwarded && dispatcher_.forwarder != nullptr &&
+      dispatcher_.isolation.Isolated()) {
+    ++counts_.handed_over;
+    return MakePeerRequest(dispatcher_, *dispatcher_.forwarder,
+                           std::move(request), std::move(on_outcome));
+  }
+  const route& matched = *request.matched;
+  if (matched.FansOut()) {
+    return MakeFanOutRequest(dispatcher_, std::move(request),
+                             std::move(on_outcome));
+  }
+  return MakeForwardRequest(dispatcher_, std::move(request),
+                            service_rotation_.Next(matched),
+                            std::move(on_outcome));
+}
+
+void request_handler::StartRequest(routed_request request, bool forwarded) {
   const std::uint64_t id = ++last_id_;
   const auto exchange = request.exchange;
   auto on_end = [this, id, request_id = request.outbound->request_id,
@@ -251,13 +273,8 @@
                  arrived = request.arrived](const request_outcome& outcome) {
     OnEnd(id, request_id, route_name, version, arrived, outcome);
   };
-  const route& matched = *request.matched;
-  const auto active = matched.FansOut()
-                          ? MakeFanOutRequest(dispatcher_, std::move(request),
-                                              std::move(on_end))
-                          : MakeForwardRequest(dispatcher_, std::move(request),
-                                               service_rotation_.Next(matched),
-                                               std::move(on_end));
+  const auto active =
+      MakeRequest(std::move(request), forwarded, std::move(on_end));
   active_.emplace(id, active);
   exchange->OnCallerClosed([weak = std::weak_ptr(active)] {
     if (const auto locked = weak.lock()) locked->Abandon();
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -4,14 +4,17 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
 
 #include "basilhoist/backend/backend_pool.h"
 #include "basilhoist/ops/event_line.h"
+#include "basilhoist/relay/forward_server.h"
 #include "basilhoist/relay/relay_client.h"
 #include "basilhoist/relay/relay_server.h"
+#include "basilhoist/relay/request_forwarder.h"
 #include "basilhoist/router/cluster_state.h"
 #include "basilhoist/router/request_handler.h"
 #include "basilhoist/router/stop_policy.h"
@@ -27,6 +30,9 @@
 // each complete request.
 constexpr std::size_t kMaxBodyBytes = 8U << 20U;
 constexpr unsigned kMaxCallerConnections = 3000;
+// Requests that an instance handles for isolated peers at a time.
+constexpr double kForwardedPerCore = 128;
+constexpr std::size_t kMinForwarded = 4;
 // Rate limits in one datagram to peers, which must fit one packet.
 constexpr std::size_t kMaxRateLimitReports = 16;
 
@@ -37,6 +43,11 @@
           .max_body_bytes = kMaxBodyBytes};
 }
 
+std::size_t MaxForwarded(double cpu_cores) {
+  return std::max(kMinForwarded,
+                  static_cast<std::size_t>(kForwardedPerCore * cpu_cores));
+}
+
 std::optional<std::uint64_t> EraArgument(const http_exchange& exchange) {
   const std::string text = exchange.Argument("era");
   if (text.empty()) return std::nullopt;
@@ -72,6 +83,8 @@
   relay_server inbound_relays;
   relay_links links;
   relay_client outbound_relays;
+  request_forwarder forwarder;
+  forward_server forwarded;
   cluster_state cluster;
   http_server caller_server;
   http_server readiness_server;
@@ -100,15 +113,18 @@
                    [this](const std::shared_ptr<frame_link>& link,
                           frame_kind kind, std::string_view bytes) {
                      inbound_relays.OnFrame(link, kind, bytes);
+                     forwarded.OnFrame(link, kind, bytes);
                    },
                .on_sender_disconnected =
                    [this](const frame_link* link) {
                      inbound_relays.OnDisconnect(link);
+                     forwarded.OnDisconnect(link);
                    },
                .on_reply =
                    [this](const endpoint& relay, frame_kind kind,
                           std::string_view bytes) {
                      outbound_relays.OnReply(relay, kind, bytes);
+                     forwarder.OnReply(relay, kind, bytes);
                    },
                .on_relay_disconnected =
                    [this](const endpoint& relay) {
@@ -117,6 +133,13 @@
         outbound_relays(the_loop, links,
                         {.failure_domain = settings.failure_domain,
                          .cpu_cores = settings.cpu_cores}),
+        forwarder(the_loop, links, outbound_relays),
+        forwarded(
+            {.max_requests = MaxForwarded(settings.cpu_cores)},
+            [this](const auto& exchange) {
+              requests.HandleForwarded(exchange);
+            },
+            [this] { return !stopping && !dispatch.isolation.Isolated(); }),
         cluster(
             the_loop, http, settings, platform, directory,
             {.on_table =
@@ -169,6 +192,11 @@
                                      domain == settings.failure_domain);
     };
     dispatch.relays = &outbound_relays;
+    dispatch.forwarder = &forwarder;
+    outbound_relays.OnRelayLost(
+        [this](const endpoint& peer) { forwarder.OnPeerLost(peer); });
+    dispatch.isolation.OnChange(
+        [this](bool isolated) { cluster.SetIsolated(isolated); });
     outbound_relays.OnRateLimit([this](const rate_limit_report& limit) {
       dispatch.OnRelayedLimit(limit, Now());
     });
@@ -219,10 +247,16 @@
     dispatch.instance_share = update.share;
   }
 
+  // An isolated instance serves its callers through peers.
+  [[nodiscard]] bool IsReady() const {
+    return !stopping && cluster.Ready() &&
+           (!dispatch.isolation.Isolated() || forwarder.HasPeer());
+  }
+
   void AnswerReadiness(http_exchange& exchange) const {
     if (exchange.Path() != platform.readiness_path) {
       exchange.Reply({.status = kNotFound});
-    } else if (stopping || !cluster.Ready()) {
+    } else if (!IsReady()) {
       exchange.Reply({.status = kUnavailable, .body = "not ready\n"});
     } else {
       exchange.Reply({.body = "ready\n"});
@@ -266,7 +300,8 @@
     return nlohmann::ordered_json{
         {"name", settings.name},
         {"failure_domain", settings.failure_domain},
-        {"ready", !stopping && cluster.Ready()},
+        {"ready", IsReady()},
+        {"isolated", dispatch.isolation.Isolated()},
         {"table_version", dispatch.table ? dispatch.table->Version() : 0},
         {"servers", directory.Size()},
         {"evacuated", directory.Evacuated()},
@@ -291,6 +326,8 @@
         {"refused", handled.refused},
         {"failed", handled.failed},
         {"callers_gone", handled.callers_gone},
+        {"handed_over", handled.handed_over},
+        {"taken_over", handled.taken_over},
         {"sends", sends.sends},
         {"second_sends", sends.hedged_sends},
         {"retries", sends.retries},
