One unreadable value in the store's answer no longer hides the rest

It can happen here, worse than reported: an entry of 200,000 nested arrays ended the process (copying and writing such a value exhausts the stack; the first listing did so at each start), and a number out of range, a malformed string or a lone surrogate made the whole page unreadable, so that the instance stopped following the list. Class: one writer's entry decides over all others'.

Change: ReadStoreBody parses values nested up to 64 levels. If the text is deeper or cannot be parsed, RepairJson replaces the unreadable values (numbers out of range and deep values by null, malformed strings by empty ones), and the entry is left out by the decoder as before. A port out of range was ignored before already.

--- a/include/basilhoist/store/object.h
+++ b/include/basilhoist/store/object.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "basilhoist/base/clock.h"
+#include "basilhoist/store/json_repair.h"
 
 namespace basilhoist {
 
@@ -132,13 +133,19 @@
 };
 
 /// Parses a body and decodes it with a function that throws if a field is
-/// missing.
+/// missing. A value that cannot be read does not make the rest unreadable; see
+/// RepairJson.
 /// @return nothing if the body is invalid; object_store reports the outcome of
 ///   such a call as unknown
 template <typename Value, typename Reader>
 std::optional<Value> ReadStoreBody(std::string_view body, Reader read) {
   try {
-    return read(nlohmann::json::parse(body));
+    nlohmann::json value(nlohmann::json::value_t::discarded);
+    if (JsonDepth(body) <= kMaxJsonDepth) {
+      value = nlohmann::json::parse(body, nullptr, false);
+    }
+    if (value.is_discarded()) value = nlohmann::json::parse(RepairJson(body));
+    return read(value);
   } catch (const nlohmann::json::exception&) {
     return std::nullopt;
   }
--- a/scripts/platform_rig.py
+++ b/scripts/platform_rig.py
@@ -90,6 +90,7 @@
         self.call_times = []
         self.writers = set()
         self.era = None  # sent with each answer, if set
+        self.raw = {}  # texts that stand for values "RAW:key" in answers
 
     def copy(self):
         """What a drill may bring back: objects and revision."""
@@ -153,7 +154,7 @@
                     status, body = await self._answer(*request)
                     if called in self.cut:  # a watch that waited meanwhile
                         await asyncio.sleep(SILENCE_S)
-                    writer.write(reply_bytes(status, json.dumps(body).encode(),
+                    writer.write(reply_bytes(status, self._encode(body),
                                              self._headers()))
                 await writer.drain()
         except (ConnectionError, asyncio.CancelledError):
@@ -162,6 +163,12 @@
             self.writers.discard(writer)
             writer.close()
 
+    def _encode(self, body):
+        text = json.dumps(body).encode()
+        for key, raw in self.raw.items():
+            text = text.replace(f'"RAW:{key}"'.encode(), raw)
+        return text
+
     def _headers(self):
         return [] if self.era is None else [("Store-Era", str(self.era))]
 
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -178,6 +178,51 @@
   BOOST_TEST(decoder->Servers(Snapshot("i-1", "[1]")).empty());
 }
 
+// Other programs write to the store as well. One entry that cannot be read must
+// not hide the others of its page, nor end the process.
+BOOST_AUTO_TEST_CASE(OneUnreadableEntryDoesNotHideTheOthers) {
+  const std::string deep = std::string(200000, '[') + std::string(200000, ']');
+  const std::string deep_objects = [] {
+    std::string text;
+    for (int i = 0; i < 100000; ++i) text += "{\"a\":";
+    return text + "1" + std::string(100000, '}');
+  }();
+  for (const std::string& odd :
+       {deep, deep_objects, std::string("1e999"), std::string("-1e999"),
+        std::string(400, '9'), std::string("\"\\ud800\""),
+        std::string("\"\xff\xfe\""), std::string(R"("10.3.0.9:99999")"),
+        std::string(R"("10.3.0.9:-1")")}) {
+    const std::string entry =
+        R"({"meta": {"name": "odd", "revision": 4}, "spec": {"service": "s",
+            "state": "ready", "zone": "z", "slots": 2, "address": )" +
+        odd + "}}";
+    const std::string good =
+        R"({"meta": {"name": "good", "revision": 3}, "spec": {"service": "s",
+            "state": "ready", "zone": "z", "slots": 2,
+            "address": "10.3.0.8:80", "note": "a [ \" { b"}})";
+    const auto page = platform::MakeBinding().dialect->DecodePage(
+        "{\"items\": [" + entry + "," + good +
+        "], \"hasMore\": false, \"currentRev\": 5}");
+    BOOST_REQUIRE(page.has_value());
+    BOOST_TEST(page->revision == 5U);
+    const auto events = platform::MakeBinding().dialect->DecodeEvents(
+        "{\"events\": [{\"object\": " + entry +
+        ", \"deleted\": false}, {\"object\": " + good +
+        "}], \"currentRev\": 6}");
+    BOOST_REQUIRE(events.has_value());
+    object_snapshot snapshot;
+    for (const object& each : page->objects) {
+      snapshot.objects[each.name] = each;
+    }
+    BOOST_TEST(snapshot.Digest() != 0U);
+    const auto servers = platform::MakeBinding().decoder->Servers(snapshot);
+    BOOST_REQUIRE(servers.size() == 1U);
+    BOOST_TEST(servers[0].id == "good");
+    BOOST_TEST((events->events.back().changed.content ==
+                snapshot.objects.at("good").content));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(StoreResponsesAreDecodedOrRejected) {
   const auto wire = platform::MakeBinding().dialect;
   BOOST_TEST(wire->WatchTarget("servers", 530, milliseconds(20000)) ==
