--- a/scripts/platform_rig.py
+++ b/scripts/platform_rig.py
@@ -474,6 +474,9 @@
             return True
         content = self.rig.records(self.id, target) + body
         whole = reply_bytes(200, content, [*echo, proof])
+        if self.mode == "cut_head":
+            writer.write(whole[:whole.index(b"\r\n\r\n") - 4])
+            return False
         if self.mode == "cut":
             writer.write(whole[:-3])
             return False
--- a/tests/backend_connection_test.cc
+++ b/tests/backend_connection_test.cc
@@ -108,6 +108,23 @@
   BOOST_TEST(delivered < kBodyBytes);
 }
 
+// A head that breaks off has no empty line, so it must not count as a reply
+// without a body, whatever lines came before.
+BOOST_AUTO_TEST_CASE(AHeadThatBreaksOffIsNoReply) {
+  for (const std::string& line :
+       {std::string(), std::string("Content-Length: 0\r\n"),
+        std::string("Transfer-Encoding: chunked\r\n"),
+        std::string("Connection: close\r\n")}) {
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Id: r1\r\n" + line + "\r\n";
+    for (std::size_t size = 1; size < head.size(); ++size) {
+      for (const bool reset : {false, true}) {
+        const backend_reply reply = ResultOfBytes(head.substr(0, size), reset);
+        BOOST_TEST((reply.error != exchange_error::kNone), "cut at " << size);
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AReplyWithoutALengthEndsWhenItsConnectionCloses) {
   const std::string reply_without_length =
       "HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\nall of it";
