Refuse requests that come too late in the grace period of a planned stop

It can happen here in part: a request that came on a kept connection up to the last moment of the grace period was passed on to a server and answered 504 when requests expire, 0.9 s before the end, 20 ms later at the earliest; an unsafe one may have run by then, and its caller must not try again.

Change: from the SIGTERM on, a request that has less than twice its route's typical latency until requests expire is answered at once: 503, not run, come back in 10 ms; its retry reaches another machine. So nothing is passed on after that moment either.

--- a/include/basilhoist/router/request_handler.h
+++ b/include/basilhoist/router/request_handler.h
@@ -43,6 +43,10 @@
     Handle(exchange, true);
   }
 
+  /// Sets when requests in flight will expire, because the process exits.
+  /// Requests that are likely to take longer are refused from now on.
+  void ExpireAt(instant when) { expires_at_ = when; }
+
   /// Answers all requests in flight as if their deadlines had passed.
   void ExpireAll();
 
@@ -81,6 +85,10 @@
   /// @return time that the caller has spent on earlier attempts
   microseconds TimeSpentBefore(const route& matched, milliseconds wait);
   void Handle(const std::shared_ptr<http_exchange>& exchange, bool forwarded);
+  /// @return whether the request would expire in the shutdown
+  [[nodiscard]] bool ComesTooLate(const routed_request& request) const;
+  /// Answers that the request has not run, and logs the cause.
+  void Refuse(http_exchange& exchange, refusal refused);
   void StartRequest(routed_request request, bool forwarded);
   [[nodiscard]] std::shared_ptr<active_request> MakeRequest(
       routed_request request, bool forwarded,
@@ -97,6 +105,7 @@
   // By route: the longest wait that a caller has advertised, which is that of a
   // first attempt.
   std::map<std::string, milliseconds> longest_wait_;
+  std::optional<instant> expires_at_;  // of the shutdown
   request_counts counts_;
   std::function<void(microseconds)> on_latency_;
 };
--- a/include/basilhoist/router/stop_policy.h
+++ b/include/basilhoist/router/stop_policy.h
@@ -41,6 +41,11 @@
         grace_period_(grace_period),
         last_busy_at_(requested_at) {}
 
+  /// @return when requests in flight expire
+  [[nodiscard]] instant ExpiresAt() const {
+    return requested_at_ + grace_period_ - kExpireMargin;
+  }
+
   /// @param in_flight number of requests that are not answered
   stop_step Next(std::size_t in_flight, instant now);
 
--- a/src/router/request_handler.cc
+++ b/src/router/request_handler.cc
@@ -34,6 +34,13 @@
 // processor time of one request on a small instance.
 constexpr milliseconds kRetrySpacing{5};
 
+// A caller that is refused during the shutdown reaches another instance with
+// its retry.
+constexpr milliseconds kRetryElsewhere{10};
+// During the shutdown a request must have time for this multiple of its typical
+// latency.
+constexpr int kLateFactor = 2;
+
 // Maximum number of missing shards that one log line lists.
 constexpr std::size_t kMaxListedMissing = 8;
 
@@ -103,19 +110,44 @@
       table ? table->Find(exchange->Header("Host"), exchange->Target())
             : nullptr;
   if (auto refused = Check(*exchange, matched)) {
-    ++counts_.refused;
-    event_line("gate", "refused")
-        .With("request",
-              exchange->Header(dispatcher_.options.names.request_id.c_str()))
-        .With("cause", refused->cause)
-        .With("status", refused->reply.status)
-        .With("fingerprint", IdentityOf(*exchange).exact)
-        .With("path_fingerprint", IdentityOf(*exchange).path)
-        .With("version", table ? table->Version() : 0);
-    exchange->Reply(std::move(refused->reply));
+    Refuse(*exchange, std::move(*refused));
+    return;
+  }
+  routed_request request = Prepare(exchange, *matched);
+  if (ComesTooLate(request)) {
+    Refuse(*exchange,
+           {NotRunReply(dispatcher_.options.names, kRetryElsewhere,
+                        "This instance is shutting down; it has not run."),
+            "shutting_down"});
     return;
   }
-  StartRequest(Prepare(exchange, *matched), forwarded);
+  StartRequest(std::move(request), forwarded);
+}
+
+void request_handler::Refuse(http_exchange& exchange, refusal refused) {
+  ++counts_.refused;
+  event_line("gate", "refused")
+      .With("request",
+            exchange.Header(dispatcher_.options.names.request_id.c_str()))
+      .With("cause", refused.cause)
+      .With("status", refused.reply.status)
+      .With("fingerprint", IdentityOf(exchange).exact)
+      .With("path_fingerprint", IdentityOf(exchange).path)
+      .With("version", dispatcher_.table ? dispatcher_.table->Version() : 0);
+  exchange.Reply(std::move(refused.reply));
+}
+
+// A request that expires may have run, while one that is refused can run
+// elsewhere at once.
+bool request_handler::ComesTooLate(const routed_request& request) const {
+  if (!expires_at_) return false;
+  const auto known =
+      dispatcher_.route_latencies.find(request.outbound->route_name);
+  const microseconds objective = request.matched->objective;
+  const microseconds typical = known == dispatcher_.route_latencies.end()
+                                   ? route_latency().TypicalLatency(objective)
+                                   : known->second.TypicalLatency(objective);
+  return request.arrived + kLateFactor * typical >= *expires_at_;
 }
 
 std::optional<request_handler::refusal> request_handler::Check(
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -406,6 +406,7 @@
 void router::Stop() {
   if (state_->stopping) return;
   state_->stopping.emplace(Now(), state_->settings.grace_period);
+  state_->requests.ExpireAt(state_->stopping->ExpiresAt());
   state_->caller_server.CloseAfterReplies();
   state_->cluster.AnnounceShutdown();
   event_line("router", "stop_asked")
