Overdue replies raise the suspicion of isolation as well

Where connections hang and callers are few, requests use up the open connections one by one, and no new one is tried: no failure to connect, no suspicion. A reply that is overdue (the hedge delay is over, or the request is given up) now counts like a failure to connect, if no server has replied since its request was sent; where fewer than three servers are listed, all of them suffice. A false suspicion costs four connections.

CallersAreServedWhileOpenConnectionsHang: an instance whose open connections hang is found isolated within 4 s and its callers are served through peers; without the change nothing ends there, so it cannot pass. Cases of the detector for few servers and overdue replies.

--- a/include/basilhoist/dispatch/isolation_detector.h
+++ b/include/basilhoist/dispatch/isolation_detector.h
@@ -17,8 +17,8 @@
   auto operator<=>(const link_sample&) const = default;
 };
 
-/// Failures to connect to several servers raise a suspicion, which a sample of
-/// other servers confirms or refutes. It does no I/O.
+/// Failures to reach several servers raise a suspicion, which a sample of other
+/// servers confirms or refutes. It does no I/O.
 class isolation_detector {
  public:
   /// Servers that must have failed within kFailureWindow for a suspicion.
@@ -31,8 +31,18 @@
   /// @param server key in the server directory
   void OnConnectFailed(std::uint64_t server, instant now);
 
+  /// Called when a server replies.
+  void OnReply(instant now) { last_reply_ = now; }
+
+  /// Called when a server's reply is overdue. Counts as a failure only if no
+  /// server has replied since the request was sent: while one is slow, others
+  /// reply.
+  void OnOverdue(std::uint64_t server, instant sent_at, instant now);
+
+  /// @param servers number of listed servers; where there are few, fewer
+  ///   failures raise a suspicion
   /// @return whether a sample should be taken now
-  [[nodiscard]] bool WantsSample(instant now) const;
+  [[nodiscard]] bool WantsSample(std::size_t servers, instant now) const;
 
   /// Called when a sample is taken.
   void OnSampleStarted(instant now) { last_sample_ = now; }
@@ -46,6 +56,7 @@
 
  private:
   std::map<std::uint64_t, instant> failures_;  // latest one of each server
+  instant last_reply_;
   instant last_sample_;
   bool isolated_ = false;
 };
--- a/include/basilhoist/dispatch/isolation_monitor.h
+++ b/include/basilhoist/dispatch/isolation_monitor.h
@@ -30,6 +30,12 @@
   /// Called when no connection to a server could be established.
   void OnConnectFailed(const listed_server& server);
 
+  /// Called when a server replies.
+  void OnReply() { detector_.OnReply(Now()); }
+
+  /// Called when the reply to a request that was sent at a time is overdue.
+  void OnOverdue(const listed_server& server, instant sent_at);
+
   /// Called when a server's host refused a connection.
   void OnRefused(const listed_server_ptr& server);
 
--- a/include/basilhoist/dispatch/service_call.h
+++ b/include/basilhoist/dispatch/service_call.h
@@ -119,6 +119,7 @@
   // Cancels the timers; abandons sends in flight after the linger time.
   void AbandonAfterLinger();
   void AbandonSend(const send& pending);
+  void ReportOverdue(const send& pending) const;
   // Counts a server that was skipped and updates earliest_unblock_.
   void OnBlocked(const send_decision& decision, instant now);
   // Returns whether to wait until earliest_unblock_ instead of giving up.
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -361,7 +361,10 @@
                     remaining_ms);
     server->cold_until = now + milliseconds(remaining_ms);
   }
-  if (reply.error == exchange_error::kNone) return;
+  if (reply.error == exchange_error::kNone) {
+    isolation.OnReply();
+    return;
+  }
   // A server whose connection breaks may be restarting and is then in its cold
   // start when it accepts connections again. Its entry shows this only later.
   const service_settings settings = SettingsOf(server->info.service);
--- a/src/dispatch/isolation_detector.cc
+++ b/src/dispatch/isolation_detector.cc
@@ -1,5 +1,7 @@
 #include "basilhoist/dispatch/isolation_detector.h"
 
+#include <algorithm>
+
 namespace basilhoist {
 
 void isolation_detector::OnConnectFailed(std::uint64_t server, instant now) {
@@ -9,11 +11,18 @@
   failures_[server] = now;
 }
 
-bool isolation_detector::WantsSample(instant now) const {
+void isolation_detector::OnOverdue(std::uint64_t server, instant sent_at,
+                                   instant now) {
+  if (last_reply_ <= sent_at) OnConnectFailed(server, now);
+}
+
+bool isolation_detector::WantsSample(std::size_t servers, instant now) const {
   if (last_sample_ > instant() && now - last_sample_ < kSampleInterval) {
     return false;
   }
-  return isolated_ || failures_.size() >= kSuspectedFailures;
+  if (isolated_) return true;
+  return !failures_.empty() &&
+         failures_.size() >= std::min(kSuspectedFailures, servers);
 }
 
 // One server that listens refutes the isolation. It ends only when most of the
--- a/src/dispatch/isolation_monitor.cc
+++ b/src/dispatch/isolation_monitor.cc
@@ -28,6 +28,12 @@
   SampleIfWanted();
 }
 
+void isolation_monitor::OnOverdue(const listed_server& server,
+                                  instant sent_at) {
+  detector_.OnOverdue(server.key, sent_at, Now());
+  SampleIfWanted();
+}
+
 void isolation_monitor::OnRefused(const listed_server_ptr& server) {
   if (Isolated()) return;
   refused_.push_back(server);
@@ -35,7 +41,8 @@
 }
 
 void isolation_monitor::SampleIfWanted() {
-  if (!sampling_ && detector_.WantsSample(Now())) TakeSample();
+  if (sampling_) return;
+  if (detector_.WantsSample(directory_.Size(), Now())) TakeSample();
 }
 
 void isolation_monitor::TakeSample() {
--- a/src/dispatch/service_call.cc
+++ b/src/dispatch/service_call.cc
@@ -270,6 +270,7 @@
 
 void service_call::OnHedgeTimer() {
   if (finished_ || in_flight_.size() != 1) return;
+  ReportOverdue(in_flight_.front());
   if (TrySend() == send_attempt::kSent) ++dispatcher_.counts.hedged_sends;
 }
 
@@ -396,6 +397,7 @@
 
 void service_call::AbandonSend(const send& pending) {
   const instant now = Now();
+  ReportOverdue(pending);
   dispatcher_.sender.Abandon(pending.id);
   dispatcher_.stats.OnEnd(pending.server->key, pending.stats_key,
                           send_result::kAbandoned, now);
@@ -406,4 +408,8 @@
   }
 }
 
+void service_call::ReportOverdue(const send& pending) const {
+  dispatcher_.isolation.OnOverdue(*pending.server, pending.sent_at);
+}
+
 }  // namespace basilhoist
--- a/tests/isolation_test.cc
+++ b/tests/isolation_test.cc
@@ -37,15 +37,33 @@
   isolation_detector detector;
   for (int i = 0; i < 10; ++i) detector.OnConnectFailed(1, At(i));
   detector.OnConnectFailed(2, At(10));
-  BOOST_TEST(!detector.WantsSample(At(11)));
+  BOOST_TEST(!detector.WantsSample(9, At(11)));
   detector.OnConnectFailed(3, At(11));
-  BOOST_TEST(detector.WantsSample(At(12)));
+  BOOST_TEST(detector.WantsSample(9, At(12)));
+}
+
+BOOST_AUTO_TEST_CASE(AllOfFewServersRaiseASuspicion) {
+  isolation_detector detector;
+  BOOST_TEST(!detector.WantsSample(2, At(0)));
+  detector.OnConnectFailed(1, At(1));
+  BOOST_TEST(!detector.WantsSample(2, At(2)));
+  detector.OnConnectFailed(2, At(2));
+  BOOST_TEST(detector.WantsSample(2, At(3)));
+}
+
+BOOST_AUTO_TEST_CASE(OverdueRepliesCountOnlyIfNoServerReplies) {
+  isolation_detector detector;
+  detector.OnReply(At(5));
+  for (int i = 0; i < 5; ++i) detector.OnOverdue(i, At(i), At(100));
+  BOOST_TEST(!detector.WantsSample(9, At(101)));
+  for (int i = 5; i < 8; ++i) detector.OnOverdue(i, At(i), At(100));
+  BOOST_TEST(detector.WantsSample(9, At(101)));
 }
 
 BOOST_AUTO_TEST_CASE(FailuresFarApartRaiseNoSuspicion) {
   isolation_detector detector;
   for (int i = 0; i < 10; ++i) detector.OnConnectFailed(i, At(600 * i));
-  BOOST_TEST(!detector.WantsSample(At(5400)));
+  BOOST_TEST(!detector.WantsSample(9, At(5400)));
 }
 
 BOOST_AUTO_TEST_CASE(OneServerThatListensRefutesTheSuspicion) {
@@ -75,7 +93,7 @@
   for (int i = 0; i < steps; ++i) {
     now = now + milliseconds(*rc::gen::inRange(0, 200));
     detector.OnConnectFailed(*rc::gen::inRange<std::uint64_t>(0, 6), now);
-    if (!detector.WantsSample(now)) continue;
+    if (!detector.WantsSample(6, now)) continue;
     if (last > instant()) {
       RC_ASSERT(now - last >= isolation_detector::kSampleInterval);
     }
@@ -94,7 +112,12 @@
 // Replies for the servers; fails like a partition while the links are cut.
 class cut_sender : public request_sender {
  public:
-  enum class link_state : std::uint8_t { kWorking, kRefused, kSilent };
+  enum class link_state : std::uint8_t {
+    kWorking,
+    kRefused,
+    kSilent,   ///< New connections time out.
+    kHanging,  ///< Requests on open connections get no reply.
+  };
 
   explicit cut_sender(event_loop& loop) : loop_(loop) {}
 
@@ -110,6 +133,7 @@
     } else if (links == link_state::kRefused) {
       reply.error = exchange_error::kRefused;
     }
+    if (links == link_state::kHanging) return ++last_id_;
     loop_.After(Delay(), [this, id = ++last_id_, done = std::move(done),
                           reply = std::move(reply)] {
       if (abandoned_.erase(id) == 0) done(reply);
@@ -132,7 +156,7 @@
 
  private:
   [[nodiscard]] microseconds Delay() const {
-    return links == link_state::kSilent ? backend_connection::kConnectTimeout
+    return links >= link_state::kSilent ? backend_connection::kConnectTimeout
                                         : milliseconds(1);
   }
   static std::string Id(const std::string& head) {
@@ -362,6 +386,10 @@
   CheckServedThroughPeers(*this, cut_sender::link_state::kSilent);
 }
 
+BOOST_FIXTURE_TEST_CASE(CallersAreServedWhileOpenConnectionsHang, fixture) {
+  CheckServedThroughPeers(*this, cut_sender::link_state::kHanging);
+}
+
 BOOST_FIXTURE_TEST_CASE(TheDirectPathIsTakenAgainAfterTheCut, fixture) {
   Cut(cut_sender::link_state::kRefused);
   cut.sender.links = cut_sender::link_state::kWorking;
