Handle sockets before expired timers, and a close behind a frame with it

Change: the timer watcher has the lowest priority; a link reads up to 1 MB until there is nothing left, hands its frames over, and handles a close in the same turn, before posted work starts.

event_loop_test, both cases red before (timer first; posted work before the close), green after.

--- a/src/link/frame_link.cc
+++ b/src/link/frame_link.cc
@@ -18,6 +18,9 @@
 constexpr std::size_t kMaxFrameBytes = 16U << 20U;
 constexpr std::size_t kKeptBufferBytes = 16U << 10U;
 constexpr std::size_t kReadBytes = 64U << 10U;
+// Reads in one turn of the event loop, so that a peer that sends without end
+// does not keep it.
+constexpr int kMaxReads = 16;
 // A peer that takes nothing for so long that this much piles up is cut off.
 constexpr std::size_t kMaxUnsentBytes = 64U << 20U;
 constexpr int kListenBacklog = 512;
@@ -96,20 +99,22 @@
     watch.Set(fd, true, !output.empty());
   }
 
+  // Reads to the end, so that a close behind the last frame is handled before
+  // the work of the frame starts.
   void Read() {
     std::array<char, kReadBytes> chunk;  // not cleared: it is large
-    while (fd >= 0) {
+    bool ended = false;
+    for (int reads = 0; reads < kMaxReads && fd >= 0 && !ended; ++reads) {
       const auto got = recv(fd, chunk.data(), chunk.size(), 0);
       if (got > 0) {
         input.append(chunk.data(), static_cast<std::size_t>(got));
-        if (static_cast<std::size_t>(got) < chunk.size()) break;
         continue;
       }
       if (got < 0 && errno == EAGAIN) break;
-      Fail();
-      return;
+      ended = true;
     }
     Deliver();
+    if (ended) Fail();
   }
 
   void Deliver() {
--- a/src/loop/event_loop.cc
+++ b/src/loop/event_loop.cc
@@ -72,6 +72,9 @@
   ev_init(&state_->wakeup, [](struct ev_loop* loop, ev_timer*, int) {
     static_cast<state*>(ev_userdata(loop))->RunExpiredTimers();
   });
+  // After a pause, what sockets bring, such as a close, is handled before
+  // timers that have expired meanwhile.
+  ev_set_priority(&state_->wakeup, EV_MINPRI);
   ev_prepare_init(&state_->prepare, [](struct ev_loop* loop, ev_prepare*, int) {
     auto* self = static_cast<state*>(ev_userdata(loop));
     self->RunPosted();
