A request of a lost peer is not sent again; peers in their shutdown serve as a last resort

A frozen peer had sent one, the next peer two. A lost peer now ends the request with a 502; the caller's own retry has attempts of its own. Peers that do not serve are now asked if no other is left; the check of late requests tells them what they can still take. * A peer that is full is left alone for 100 ms, not avoided as a relay for 1 s. * A request that is handed over starts in a posted task, as relayed batches do, so that a cancel right behind it is handled first.

isolation_test: ARequestOfALostPeerIsNotSentAgain, APeerThatIsNotServingIsTheLastResort, ALostPeerCostsARequestItsAnswer (was sent to the next peer before).

--- a/include/basilhoist/relay/forward_server.h
+++ b/include/basilhoist/relay/forward_server.h
@@ -25,9 +25,10 @@
  public:
   /// @param handler called with each accepted request
   /// @param accepts whether this instance can handle requests of others now
-  forward_server(forward_server_options options, http_handler handler,
-                 std::function<bool()> accepts)
-      : options_(options),
+  forward_server(event_loop& loop, forward_server_options options,
+                 http_handler handler, std::function<bool()> accepts)
+      : loop_(loop),
+        options_(options),
         handler_(std::move(handler)),
         accepts_(std::move(accepts)) {}
 
@@ -47,6 +48,7 @@
               forwarded_request request);
   void Cancel(const request_key& key);
 
+  event_loop& loop_;
   forward_server_options options_;
   http_handler handler_;
   std::function<bool()> accepts_;
--- a/include/basilhoist/relay/peer_request.h
+++ b/include/basilhoist/relay/peer_request.h
@@ -7,7 +7,7 @@
 namespace basilhoist {
 
 /// Creates a request that a peer handles. A peer that rejects it is replaced by
-/// another one; a lost peer only if the request is idempotent.
+/// another one; one that is lost ends it.
 std::shared_ptr<active_request> MakePeerRequest(
     dispatcher& the_dispatcher, request_forwarder& forwarder,
     routed_request request, request_outcome_handler on_outcome);
--- a/include/basilhoist/relay/relay_client.h
+++ b/include/basilhoist/relay/relay_client.h
@@ -20,6 +20,9 @@
   endpoint address;
   std::string failure_domain;
   double cpu_cores = 1;  ///< CPU cores available to the instance.
+  /// Whether it takes batches. One that does not may still take whole requests,
+  /// for example during its shutdown.
+  bool serving = true;
 
   auto operator<=>(const relay_peer&) const = default;
 };
@@ -98,7 +101,7 @@
   [[nodiscard]] std::set<std::string> UsableDomains() const;
 
   /// Chooses a peer of any failure domain for a whole request, by chance, but
-  /// stronger ones more often.
+  /// stronger ones more often. Peers that are not serving are a last resort.
   /// @param excluded peers that are not to be chosen
   /// @param chance a random number from 0 to less than 1
   /// @return the peer, or nothing if none is usable
@@ -141,6 +144,8 @@
   [[nodiscard]] std::vector<relay_peer> UsableRelays(
       const std::string& failure_domain) const;
   [[nodiscard]] bool IsAvoided(const endpoint& relay, instant now) const;
+  [[nodiscard]] std::optional<relay_peer> ChoosePeer(
+      const std::set<endpoint>& excluded, double chance, bool serving) const;
 
   event_loop& loop_;
   relay_links& links_;
--- a/include/basilhoist/relay/request_forwarder.h
+++ b/include/basilhoist/relay/request_forwarder.h
@@ -37,16 +37,18 @@
   request_forwarder(event_loop& loop, relay_links& links, relay_client& peers)
       : loop_(loop), links_(links), peers_(peers) {}
 
-  /// @return whether there is a peer to send to
+  /// A peer that rejected a request gets no other one for this duration.
+  static constexpr milliseconds kRejectionBackoff{100};
+
+  /// @return whether there is a serving peer to send to
   [[nodiscard]] bool HasPeer() const {
-    return peers_.ChoosePeer({}, 0).has_value();
+    const auto peer = peers_.ChoosePeer({}, 0);
+    return peer && peer->serving;
   }
 
   /// Chooses a peer; see relay_client::ChoosePeer.
   [[nodiscard]] std::optional<relay_peer> ChoosePeer(
-      const std::set<endpoint>& excluded, double chance) const {
-    return peers_.ChoosePeer(excluded, chance);
-  }
+      std::set<endpoint> excluded, double chance) const;
 
   /// Sends a request to a peer.
   /// @param request its id is set here
@@ -74,6 +76,7 @@
   relay_links& links_;
   relay_client& peers_;
   std::map<std::uint64_t, pending> pending_;
+  std::map<endpoint, instant> rejected_until_;
   std::uint64_t last_id_ = 0;
 };
 
--- a/src/relay/forward_server.cc
+++ b/src/relay/forward_server.cc
@@ -109,7 +109,14 @@
   const auto accepted_exchange = std::make_shared<exchange>(
       link, std::move(request), [this, key] { active_.erase(key); });
   active_[key] = accepted_exchange;
-  handler_(accepted_exchange);
+  // Posted, so that a cancellation or a close right behind the request is
+  // handled first.
+  loop_.Post([this, key] {
+    const auto found = active_.find(key);
+    if (found == active_.end()) return;
+    const auto starting = found->second;  // erased from active_ when it ends
+    handler_(starting);
+  });
 }
 
 void forward_server::Cancel(const request_key& key) {
--- a/src/relay/peer_request.cc
+++ b/src/relay/peer_request.cc
@@ -82,15 +82,14 @@
     return message;
   }
 
+  // A lost peer may have sent the request to as many servers as the route
+  // allows, so it is not sent again even if it is idempotent.
   void OnLost(forward_loss loss) {
     if (loss == forward_loss::kLost) {
-      may_have_run_ = true;
-      if (!request_.outbound->idempotent) {
-        Fail(kBadGateway, "A peer was lost; the request may have run.");
-        return;
-      }
+      Fail(kBadGateway, "A peer was lost; the request may have run.");
+    } else {
+      SendOrRefuse();
     }
-    SendOrRefuse();
   }
 
   void Answer(const forwarded_reply& reply) {
@@ -105,10 +104,6 @@
   }
 
   void Refuse() {
-    if (may_have_run_) {
-      Fail(kBadGateway, "Peers were lost; the request may have run.");
-      return;
-    }
     const outbound_request& out = *request_.outbound;
     const microseconds retry_after = dispatcher_.PlanRetryAfter(
         "", out.route_name,
@@ -138,7 +133,6 @@
   request_outcome_handler on_outcome_;
   std::set<endpoint> tried_;
   std::uint64_t sent_ = 0;  // id of the request at the peer
-  bool may_have_run_ = false;
   timer_id deadline_timer_ = 0;
 };
 
--- a/src/relay/relay_client.cc
+++ b/src/relay/relay_client.cc
@@ -14,7 +14,7 @@
   std::vector<relay_peer> usable;
   double max_cores = 0;
   for (const relay_peer& peer : peers_) {
-    if (peer.failure_domain != failure_domain) continue;
+    if (!peer.serving || peer.failure_domain != failure_domain) continue;
     if (IsAvoided(peer.address, now)) continue;
     usable.push_back(peer);
     max_cores = std::max(max_cores, peer.cpu_cores);
@@ -35,11 +35,18 @@
 
 std::optional<relay_peer> relay_client::ChoosePeer(
     const std::set<endpoint>& excluded, double chance) const {
+  const auto serving = ChoosePeer(excluded, chance, true);
+  return serving ? serving : ChoosePeer(excluded, chance, false);
+}
+
+std::optional<relay_peer> relay_client::ChoosePeer(
+    const std::set<endpoint>& excluded, double chance, bool serving) const {
   const instant now = Now();
   std::vector<const relay_peer*> usable;
   double total = 0;
   for (const relay_peer& peer : peers_) {
-    if (excluded.contains(peer.address) || IsAvoided(peer.address, now)) {
+    if (peer.serving != serving || excluded.contains(peer.address) ||
+        IsAvoided(peer.address, now)) {
       continue;
     }
     usable.push_back(&peer);
--- a/src/relay/request_forwarder.cc
+++ b/src/relay/request_forwarder.cc
@@ -8,6 +8,15 @@
 
 namespace basilhoist {
 
+std::optional<relay_peer> request_forwarder::ChoosePeer(
+    std::set<endpoint> excluded, double chance) const {
+  const instant now = Now();
+  for (const auto& [peer, until] : rejected_until_) {
+    if (now < until) excluded.insert(peer);
+  }
+  return peers_.ChoosePeer(excluded, chance);
+}
+
 std::uint64_t request_forwarder::Send(const endpoint& peer,
                                       forwarded_request request,
                                       forward_handlers on) {
@@ -45,7 +54,7 @@
   const forward_handlers on = std::move(found->second.on);
   pending_.erase(found);
   if (reply->state == forward_state::kRejected) {
-    peers_.AvoidRelay(peer);
+    rejected_until_[peer] = Now() + kRejectionBackoff;
     on.on_lost(forward_loss::kRejected);
   } else {
     on.on_answer(*reply);
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -135,11 +135,11 @@
                          .cpu_cores = settings.cpu_cores}),
         forwarder(the_loop, links, outbound_relays),
         forwarded(
-            {.max_requests = MaxForwarded(settings.cpu_cores)},
+            the_loop, {.max_requests = MaxForwarded(settings.cpu_cores)},
             [this](const auto& exchange) {
               requests.HandleForwarded(exchange);
             },
-            [this] { return !stopping && !dispatch.isolation.Isolated(); }),
+            [this] { return !dispatch.isolation.Isolated(); }),
         cluster(
             the_loop, http, settings, platform, directory,
             {.on_table =
@@ -226,10 +226,10 @@
   void OnPeers(const std::vector<known_peer>& alive) {
     std::vector<relay_peer> peers;
     for (const known_peer& peer : alive) {
-      if (!peer.serving) continue;
       peers.push_back({.address = peer.address,
                        .failure_domain = peer.failure_domain,
-                       .cpu_cores = peer.processor_permille / kPermille});
+                       .cpu_cores = peer.processor_permille / kPermille,
+                       .serving = peer.serving});
     }
     outbound_relays.SetPeers(std::move(peers));
   }
--- a/tests/isolation_test.cc
+++ b/tests/isolation_test.cc
@@ -264,7 +264,7 @@
         forwarder(the_loop, links, relays),
         requests(dispatch),
         forwarded(
-            {.max_requests = max_forwarded},
+            the_loop, {.max_requests = max_forwarded},
             [this](const auto& exchange) {
               requests.HandleForwarded(exchange);
             },
@@ -427,17 +427,54 @@
              taken);
 }
 
-BOOST_FIXTURE_TEST_CASE(ALostPeerCostsARequestThatMayRunOnceItsAnswer,
-                        fixture) {
+BOOST_FIXTURE_TEST_CASE(ALostPeerCostsARequestItsAnswer, fixture) {
   Cut(cut_sender::link_state::kRefused);
   cut.relays.SetPeers({{.address = near.address, .failure_domain = "a"}});
   near.silent = true;
+  const auto sent = cut.requests.Counts().handed_over;
   BOOST_TEST(StatusOf(cut, "POST", "/once/x") == 502);
+  BOOST_TEST(cut.requests.Counts().handed_over == sent + 1);
+  // The next one goes to another peer.
   cut.relays.SetPeers({{.address = near.address, .failure_domain = "a"},
                        {.address = far.address, .failure_domain = "b"}});
   BOOST_TEST(StatusOf(cut, "GET", "/all/x") == 200);
 }
 
+// The servers that a lost peer has sent a request to count against the limit of
+// the route, as do those of the next peer.
+BOOST_FIXTURE_TEST_CASE(ARequestOfALostPeerIsNotSentAgain, fixture) {
+  Cut(cut_sender::link_state::kRefused);
+  near.sender.runs.clear();
+  far.sender.runs.clear();
+  cut.relays.SetPeers({{.address = near.address, .failure_domain = "a"}});
+  near.sender.links = cut_sender::link_state::kHanging;
+  const auto exchange = Ask(cut, "GET", "/all/x");
+  RunUntil([this] { return near.requests.InFlight() > 0; });
+  cut.relays.SetPeers({{.address = far.address, .failure_domain = "b"}});
+  cut.relays.FailRelay(near.address, "test");
+  RunUntil([&] { return exchange->answer.has_value(); });
+  BOOST_REQUIRE(exchange->answer.has_value());
+  BOOST_TEST(exchange->answer->status == 502);
+  BOOST_TEST(far.sender.runs.empty());
+}
+
+// While all others are being stopped, a peer in its shutdown still serves.
+BOOST_FIXTURE_TEST_CASE(APeerThatIsNotServingIsTheLastResort, fixture) {
+  Cut(cut_sender::link_state::kRefused);
+  cut.relays.SetPeers(
+      {{.address = near.address, .failure_domain = "a", .serving = false},
+       {.address = far.address, .failure_domain = "b"}});
+  const auto taken = near.requests.Counts().taken_over;
+  for (int i = 0; i < 10; ++i) {
+    BOOST_TEST(StatusOf(cut, "GET", "/all/x") == 200);
+  }
+  BOOST_TEST(near.requests.Counts().taken_over == taken);
+  cut.relays.SetPeers(
+      {{.address = near.address, .failure_domain = "a", .serving = false}});
+  BOOST_TEST(StatusOf(cut, "GET", "/all/x") == 200);
+  BOOST_TEST(cut.relays.UsableDomains().empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(ACallerThatLeavesCancelsTheRequestAtThePeer, fixture) {
   Cut(cut_sender::link_state::kRefused);
   cut.relays.SetPeers({{.address = far.address, .failure_domain = "b"}});
