A request whose caller has left behind it is not started

A router that was frozen, or busy, reads a request whose caller has closed meanwhile; the close is noticed only when the request waits for its answer, after it was sent to servers. Now the caller's socket is asked before a request starts (one poll a request).

--- a/src/http/http_server_exchange.cc
+++ b/src/http/http_server_exchange.cc
@@ -206,6 +206,11 @@
     Reject(413, "The body is larger than this server takes.");
     return;
   }
+  // A process that was frozen reads a request long after its caller left.
+  if (CallerClosed()) {
+    Reply({.status = kHttpBadGateway, .content_type = {}});
+    return;
+  }
   server_.handler(self);
 }
 
