--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -200,15 +200,19 @@
         R"({"meta": {"name": "good", "revision": 3}, "spec": {"service": "s",
             "state": "ready", "zone": "z", "slots": 2,
             "address": "10.3.0.8:80", "note": "a [ \" { b"}})";
-    const auto page = platform::MakeBinding().dialect->DecodePage(
-        "{\"items\": [" + entry + "," + good +
+    std::string page_text = "{\"items\": [";
+    page_text.append(entry).append(",").append(good).append(
         "], \"hasMore\": false, \"currentRev\": 5}");
+    const auto page = platform::MakeBinding().dialect->DecodePage(page_text);
     BOOST_REQUIRE(page.has_value());
     BOOST_TEST(page->revision == 5U);
-    const auto events = platform::MakeBinding().dialect->DecodeEvents(
-        "{\"events\": [{\"object\": " + entry +
-        ", \"deleted\": false}, {\"object\": " + good +
-        "}], \"currentRev\": 6}");
+    std::string events_text = "{\"events\": [{\"object\": ";
+    events_text.append(entry)
+        .append(", \"deleted\": false}, {\"object\": ")
+        .append(good)
+        .append("}], \"currentRev\": 6}");
+    const auto events =
+        platform::MakeBinding().dialect->DecodeEvents(events_text);
     BOOST_REQUIRE(events.has_value());
     object_snapshot snapshot;
     for (const object& each : page->objects) {
