--- a/src/router/cluster_state.cc
+++ b/src/router/cluster_state.cc
@@ -174,6 +174,7 @@
           .With("count", directory_.Size());
     }
     for (const auto& feed : feeds_) feed->ExpireBeliefs();
+    for (auto& [kind, texts] : snapshot_texts_) texts.Expire(Now());
     UpdateInstances();
   });
 }
@@ -183,12 +184,13 @@
          FindFeed(platform_.kinds.servers)->State().HasSnapshot();
 }
 
-std::string cluster_state::SnapshotText(
-    const std::string& kind, std::uint64_t since,
-    std::optional<std::uint64_t> era) const {
+std::string cluster_state::SnapshotText(const std::string& kind,
+                                        std::uint64_t since,
+                                        std::optional<std::uint64_t> era) {
   const object_feed* feed = FindFeed(kind);
   if (feed == nullptr || !feed->State().HasSnapshot()) return {};
-  return FormatSnapshot(feed->State(), since, Now(), era);
+  return snapshot_texts_[kind].Text(feed->State(), feed->Digest(), since, era,
+                                    Now());
 }
 
 void cluster_state::OnRouting(const object_feed& feed) {
