--- a/scripts/platform_rig.py
+++ b/scripts/platform_rig.py
@@ -452,7 +452,8 @@
 
     @staticmethod
     async def _closed(reader):
-        while not reader.at_eof():
+        # A reset sets an exception, not the end of the stream.
+        while not reader.at_eof() and reader.exception() is None:
             await asyncio.sleep(0.005)
 
     async def _work(self, request_id):
