Revert the text that peers share: GONE came back with it

Most likely a query is now read before the long turn in which the table goes out to followers, and its frames wait for the end of that turn; before, it was read after the turn, with its caller's close behind it.

--- a/include/basilhoist/router/cluster_state.h
+++ b/include/basilhoist/router/cluster_state.h
@@ -11,7 +11,6 @@
 #include "basilhoist/knowledge/object_feed.h"
 #include "basilhoist/knowledge/peer_exchange.h"
 #include "basilhoist/knowledge/reader_role.h"
-#include "basilhoist/knowledge/snapshot_cache.h"
 #include "basilhoist/knowledge/stalled_watch_detector.h"
 #include "basilhoist/knowledge/suspect_archive.h"
 #include "basilhoist/router/platform_binding.h"
@@ -76,7 +75,7 @@
   ///   known
   [[nodiscard]] std::string SnapshotText(
       const std::string& kind, std::uint64_t since,
-      std::optional<std::uint64_t> era = std::nullopt);
+      std::optional<std::uint64_t> era = std::nullopt) const;
   [[nodiscard]] std::uint64_t StoreEra() const { return store_.Era(); }
 
   [[nodiscard]] const std::vector<std::unique_ptr<object_feed>>& Feeds() const {
@@ -139,7 +138,6 @@
   object_store store_;
   suspect_archive archive_;
   std::vector<std::unique_ptr<object_feed>> feeds_;
-  std::map<std::string, snapshot_cache> snapshot_texts_;  // by kind
   peer_exchange peers_;
   reader_role role_;
   // Whether this instance has followed the store, or has known an instance that
--- a/src/router/cluster_state.cc
+++ b/src/router/cluster_state.cc
@@ -174,7 +174,6 @@
           .With("count", directory_.Size());
     }
     for (const auto& feed : feeds_) feed->ExpireBeliefs();
-    for (auto& [kind, texts] : snapshot_texts_) texts.Expire(Now());
     UpdateInstances();
   });
 }
@@ -184,13 +183,12 @@
          FindFeed(platform_.kinds.servers)->State().HasSnapshot();
 }
 
-std::string cluster_state::SnapshotText(const std::string& kind,
-                                        std::uint64_t since,
-                                        std::optional<std::uint64_t> era) {
+std::string cluster_state::SnapshotText(
+    const std::string& kind, std::uint64_t since,
+    std::optional<std::uint64_t> era) const {
   const object_feed* feed = FindFeed(kind);
   if (feed == nullptr || !feed->State().HasSnapshot()) return {};
-  return snapshot_texts_[kind].Text(feed->State(), feed->Digest(), since, era,
-                                    Now());
+  return FormatSnapshot(feed->State(), since, Now(), era);
 }
 
 void cluster_state::OnRouting(const object_feed& feed) {
--- a/tests/snapshot_text_test.cc
+++ b/tests/snapshot_text_test.cc
@@ -6,8 +6,6 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "basilhoist/knowledge/snapshot_cache.h"
-
 namespace basilhoist {
 namespace {
 
@@ -155,36 +153,4 @@
   }
 }
 
-// All followers of a reader fetch after each change. On a small instance, a
-// table of many routes that is formatted anew for each of them keeps the event
-// loop for longer than a relayed batch may wait.
-BOOST_AUTO_TEST_CASE(PeersThatFetchTogetherShareOneText) {
-  watching_feed store(7);
-  store.Write("a", 1);
-  snapshot_cache cache;
-  constexpr int kFollowers = 20;
-  for (int i = 0; i < kFollowers; ++i) {
-    const std::string& text =
-        cache.Text(store.Feed(), 1, 0, std::nullopt, kStart);
-    BOOST_TEST(text == FormatSnapshot(store.Feed(), 0, kStart));
-  }
-  BOOST_TEST(cache.Formatted() == 1U);
-  cache.Text(store.Feed(), 1, 7, std::nullopt, kStart);
-  BOOST_TEST(cache.Formatted() == 2U);
-}
-
-BOOST_AUTO_TEST_CASE(ASharedTextEndsWithItsSnapshotAndWithItsTime) {
-  watching_feed store(7);
-  store.Write("a", 1);
-  snapshot_cache cache;
-  cache.Text(store.Feed(), 1, 0, std::nullopt, kStart);
-  store.Write("b", 2);
-  BOOST_TEST(cache.Text(store.Feed(), 2, 0, std::nullopt, kStart) ==
-             FormatSnapshot(store.Feed(), 0, kStart));
-  BOOST_TEST(cache.Formatted() == 2U);
-  cache.Text(store.Feed(), 2, 0, std::nullopt,
-             kStart + 2 * snapshot_cache::kLifetime);
-  BOOST_TEST(cache.Formatted() == 3U);
-}
-
 }  // namespace basilhoist
