Log a fan-out shard that is answered twice, and by what

Nothing in the log told which parts of the router had answered the shard.

Change: fan_out/repeated_answer with request, service, both sources and the number of calls that were made for the shard. No behaviour changes.

--- a/src/dispatch/fan_out_request.cc
+++ b/src/dispatch/fan_out_request.cc
@@ -4,6 +4,7 @@
 #include "basilhoist/dispatch/active_request.h"
 #include "basilhoist/dispatch/answer_policy.h"
 #include "basilhoist/merge/top_records.h"
+#include "basilhoist/ops/event_line.h"
 #include "basilhoist/relay/relay_client.h"
 #include "basilhoist/relay/relay_plan.h"
 
@@ -67,11 +68,14 @@
 
  private:
   enum class progress : std::uint8_t { kPending, kAnswered, kFailed };
+  enum class result_source : std::uint8_t { kCall, kRelay };
 
   struct shard_state {
     progress state = progress::kPending;
     bool relayed = false;  // sent to a relay that has not lost or returned it
     std::shared_ptr<service_call> call;
+    unsigned calls = 0;                                // calls made so far
+    result_source answered_by = result_source::kCall;  // if kAnswered
   };
 
   void SendRelayBatches() {
@@ -136,13 +140,14 @@
         [self = shared_from_this(), shard](call_result result) {
           self->OnShardResult(shard, std::move(result));
         });
+    ++shards_[shard].calls;
     return shards_[shard].call;
   }
 
   void OnShardResult(std::size_t shard, call_result result) {
     if (ended_) return;
     if (result.outcome == send_outcome::kAnswer) {
-      shards_[shard].state = progress::kAnswered;
+      SetAnswered(shard, result_source::kCall);
       AddSignature(*result.reply.Header(dispatcher_.options.names.signature));
       bodies_.push_back(std::move(result.reply.body));
     } else {
@@ -157,7 +162,7 @@
                      const relay_update& update) {
     if (ended_) return;
     for (const relayed_part& part : update.parts) {
-      shards_.at(shards.at(part.shard)).state = progress::kAnswered;
+      SetAnswered(shards.at(part.shard), result_source::kRelay);
       AddSignature(part.signature);
     }
     for (const std::uint32_t failed : update.failed) {
@@ -188,6 +193,24 @@
     }
   }
 
+  void SetAnswered(std::size_t shard, result_source source) {
+    shard_state& state = shards_.at(shard);
+    if (state.state == progress::kAnswered) {
+      event_line("fan_out", "repeated_answer")
+          .With("request", request_.outbound->request_id)
+          .With("service", request_.matched->shards[shard])
+          .With("first", Name(state.answered_by))
+          .With("second", Name(source))
+          .With("calls", state.calls);
+    }
+    state.state = progress::kAnswered;
+    state.answered_by = source;
+  }
+
+  static const char* Name(result_source source) {
+    return source == result_source::kCall ? "call" : "relay";
+  }
+
   void AddSignature(const std::string& signature) {
     if (!signatures_.empty()) signatures_ += ", ";
     signatures_ += signature;
