--- a/include/basilhoist/relay/relay_client.h
+++ b/include/basilhoist/relay/relay_client.h
@@ -37,12 +37,15 @@
 struct batch_handlers {
   /// Called for each update that has shard results.
   std::function<void(const relay_update&)> on_update;
-  /// Called when the relay did not accept the batch in time or its link closed.
-  /// The sender must then send the shards without a result itself.
-  std::function<void()> on_lost;
+  /// Called when the relay did not accept the batch in time or its link closed,
+  /// unless all shards have a result. A shard that the relay returned has one.
+  /// @param shards indexes into the batch of the shards without a result, which
+  ///   the sender must now send itself
+  std::function<void(const std::vector<std::uint32_t>& shards)> on_lost;
 };
 
-/// Sends batches to relays and tracks them until they are cancelled or lost.
+/// Sends batches to relays and tracks them until all their shards have a result
+/// or they are cancelled or lost.
 class relay_client {
  public:
   /// Time within which a relay must confirm that it accepted a batch. A relay
@@ -138,6 +141,7 @@
     endpoint relay;
     batch_handlers on;
     std::size_t shards = 0;
+    std::set<std::uint32_t> unfinished;  // indexes of shards without a result
     timer_id accept_timer = 0;
   };
 
--- a/src/dispatch/fan_out_request.cc
+++ b/src/dispatch/fan_out_request.cc
@@ -121,7 +121,10 @@
              [self, shards = batch.shards](const relay_update& update) {
                self->OnRelayUpdate(shards, update);
              },
-         .on_lost = [self, batch] { self->OnBatchLost(batch); }});
+         .on_lost =
+             [self, batch](const std::vector<std::uint32_t>& unfinished) {
+               self->OnBatchLost(batch, unfinished);
+             }});
     if (id == 0) return;
     batches_.push_back(id);
     for (const std::size_t shard : batch.shards) shards_[shard].relayed = true;
@@ -181,13 +184,15 @@
     Decide();
   }
 
-  // The relay may have sent the shards of the batch that it accepted, so a send
-  // from here counts as an extra send.
-  void OnBatchLost(const relay_batch& batch) {
+  // The relay may have sent the shards that it did not return, so a send from
+  // here counts as an extra send. Shards that it returned have a call already.
+  void OnBatchLost(const relay_batch& batch,
+                   const std::vector<std::uint32_t>& unfinished) {
     if (ended_) return;
     may_have_run_ = true;
-    for (const std::size_t shard : batch.shards) {
-      if (ended_ || shards_[shard].state != progress::kPending) continue;
+    for (const std::uint32_t index : unfinished) {
+      if (ended_) return;
+      const std::size_t shard = batch.shards.at(index);
       shards_[shard].relayed = false;
       MakeCall(shard, batch.failure_domain)->StartAfterRelayLoss();
     }
--- a/src/relay/relay_client.cc
+++ b/src/relay/relay_client.cc
@@ -7,6 +7,17 @@
 #include "basilhoist/ops/event_line.h"
 
 namespace basilhoist {
+namespace {
+
+// Removes the shards that an update answers, fails or returns.
+void RemoveFinished(std::set<std::uint32_t>& unfinished,
+                    const relay_update& update) {
+  for (const relayed_part& part : update.parts) unfinished.erase(part.shard);
+  for (const std::uint32_t shard : update.failed) unfinished.erase(shard);
+  for (const std::uint32_t shard : update.not_sent) unfinished.erase(shard);
+}
+
+}  // namespace
 
 std::vector<relay_peer> relay_client::UsableRelays(
     const std::string& failure_domain) const {
@@ -115,10 +126,12 @@
   const timer_id timer = loop_.After(kAcceptTimeout, [this, address] {
     FailRelay(address, "not_taken_in_time");
   });
-  batches_.emplace(id, batch{.relay = address,
-                             .on = std::move(on),
-                             .shards = shard_count,
-                             .accept_timer = timer});
+  batch& sent = batches_[id];
+  sent = {.relay = address,
+          .on = std::move(on),
+          .shards = shard_count,
+          .accept_timer = timer};
+  for (std::uint32_t i = 0; i < shard_count; ++i) sent.unfinished.insert(i);
   return id;
 }
 
@@ -158,8 +171,10 @@
   if (accept_timer != 0 && update->not_sent.size() == found->second.shards) {
     AvoidRelay(relay);
   }
-  // Copied, since the handler may cancel the batch and so destroy it.
+  // Copied, since the batch may have ended, or the handler may cancel it.
   const auto on_update = found->second.on.on_update;
+  RemoveFinished(found->second.unfinished, *update);
+  if (found->second.unfinished.empty()) batches_.erase(found);
   on_update(*update);
 }
 
@@ -182,10 +197,10 @@
   for (const std::uint64_t id : lost) {
     const auto found = batches_.find(id);
     if (found == batches_.end()) continue;
-    const auto on_lost = std::move(found->second.on.on_lost);
-    loop_.Cancel(found->second.accept_timer);
+    const batch ended = std::move(found->second);
+    loop_.Cancel(ended.accept_timer);
     batches_.erase(found);
-    on_lost();
+    ended.on.on_lost({ended.unfinished.begin(), ended.unfinished.end()});
   }
   on_relay_lost_(relay);
 }
--- a/tests/isolation_test.cc
+++ b/tests/isolation_test.cc
@@ -12,6 +12,7 @@
 #include "basilhoist/relay/relay_client.h"
 #include "basilhoist/relay/relay_server.h"
 #include "basilhoist/router/request_handler.h"
+#include "caller_exchange.h"
 #include "free_port.h"
 
 namespace basilhoist {
@@ -169,42 +170,6 @@
   std::set<std::uint64_t> abandoned_;
 };
 
-class caller_exchange : public http_exchange {
- public:
-  caller_exchange(std::string method, std::string target, std::string id)
-      : method_(std::move(method)),
-        target_(std::move(target)),
-        headers_({{"Host", "h"}, {"X-Id", std::move(id)}, {"X-Left", "1000"}}) {
-  }
-  const std::string& Method() const override { return method_; }
-  const std::string& Path() const override { return target_; }
-  const std::string& Target() const override { return target_; }
-  const std::string& Body() const override { return body_; }
-  std::string Header(const char* name) const override {
-    for (const http_header& header : headers_) {
-      if (SameHeader(header.name, name)) return header.value;
-    }
-    return {};
-  }
-  std::vector<http_header> Headers() const override { return headers_; }
-  std::string Argument(const char*) const override { return {}; }
-  std::string PeerAddress() const override { return {}; }
-  bool FirstOnConnection() const override { return true; }
-  void OnCallerClosed(std::function<void()> callback) override {
-    close = std::move(callback);
-  }
-  void Reply(http_reply reply) override { answer = std::move(reply); }
-
-  std::optional<http_reply> answer;
-  std::function<void()> close;
-
- private:
-  std::string method_;
-  std::string target_;
-  std::string body_;
-  std::vector<http_header> headers_;
-};
-
 routing_table_ptr Table() {
   return std::make_shared<routing_table>(
       routing_table_options{.version = 1,
@@ -317,9 +282,9 @@
     }
   }
 
-  std::shared_ptr<caller_exchange> Ask(node& at, const char* method,
-                                       const char* target) {
-    auto exchange = std::make_shared<caller_exchange>(
+  std::shared_ptr<test::caller_exchange> Ask(node& at, const char* method,
+                                             const char* target) {
+    auto exchange = std::make_shared<test::caller_exchange>(
         method, target, "r" + std::to_string(++asked));
     at.requests.Handle(exchange);
     return exchange;
@@ -508,7 +473,7 @@
       {.address = cut.address, .failure_domain = "a"}, request, 4, kShards,
       {.on_update =
            [&](const relay_update& update) { updates.push_back(update); },
-       .on_lost = [] {}});
+       .on_lost = [](const auto&) {}});
   RunUntil([&] { return !updates.empty(); });
   BOOST_REQUIRE(updates.size() == 1U);
   BOOST_TEST(updates[0].not_sent.size() == kShards.size());
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -168,7 +168,7 @@
         client->ChooseRelays("b", 3, 0).at(0), request, 2, {"s1", "s2", "s3"},
         {.on_update =
              [this](const relay_update& update) { updates.push_back(update); },
-         .on_lost = [this] { ++lost_batches; }});
+         .on_lost = [this](const auto&) { ++lost_batches; }});
   }
 
   void Reply(std::size_t number, const std::string& body) {
@@ -284,7 +284,7 @@
     client->Send({.address = relay.Address(), .failure_domain = "b"}, request,
                  2, {"s1"},
                  {.on_update = [](const relay_update&) {},
-                  .on_lost = [this] { ++lost_batches; }});
+                  .on_lost = [this](const auto&) { ++lost_batches; }});
     RunUntil([this] { return lost_batches > 0; });
     lost = true;
   }
