An update of shards that the relay does not hold loses its batch

Cause: fan_out_request applied updates as they came. An index beyond the batch threw std::out_of_range through the event loop and ended the process; a shard that was named twice, or that the relay had returned, was counted again, with its records.

Ruled out: dropping single parts, since the records of an update are merged.

Change: relay_client checks each update against the shards that the relay still holds. One that names another shard is dropped as a whole; the relay counts as lost (invalid_update), so its shards are sent directly.

Conclusion: fixed for updates. relay_limits and relay_cancel carry no indexes.

--- a/src/relay/relay_client.cc
+++ b/src/relay/relay_client.cc
@@ -9,12 +9,18 @@
 namespace basilhoist {
 namespace {
 
-// Removes the shards that an update answers, fails or returns.
-void RemoveFinished(std::set<std::uint32_t>& unfinished,
+// Removes the shards that an update answers, fails or returns. Returns false if
+// the relay does not hold one of them.
+bool RemoveFinished(std::set<std::uint32_t>& unfinished,
                     const relay_update& update) {
-  for (const relayed_part& part : update.parts) unfinished.erase(part.shard);
-  for (const std::uint32_t shard : update.failed) unfinished.erase(shard);
-  for (const std::uint32_t shard : update.not_sent) unfinished.erase(shard);
+  bool valid = true;
+  const auto remove = [&](std::uint32_t shard) {
+    valid = unfinished.erase(shard) == 1 && valid;
+  };
+  for (const relayed_part& part : update.parts) remove(part.shard);
+  for (const std::uint32_t shard : update.failed) remove(shard);
+  for (const std::uint32_t shard : update.not_sent) remove(shard);
+  return valid;
 }
 
 }  // namespace
@@ -167,14 +173,23 @@
   const bool only_accepted = update->parts.empty() && update->failed.empty() &&
                              update->not_sent.empty();
   if (only_accepted) return;
+  std::set<std::uint32_t> unfinished = found->second.unfinished;
+  if (!RemoveFinished(unfinished, *update)) {
+    // The records of the update are merged, so none of it can be used.
+    FailRelay(relay, "invalid_update");
+    return;
+  }
   // A batch that is returned without having been accepted was rejected.
   if (accept_timer != 0 && update->not_sent.size() == found->second.shards) {
     AvoidRelay(relay);
   }
   // Copied, since the batch may have ended, or the handler may cancel it.
   const auto on_update = found->second.on.on_update;
-  RemoveFinished(found->second.unfinished, *update);
-  if (found->second.unfinished.empty()) batches_.erase(found);
+  if (unfinished.empty()) {
+    batches_.erase(found);
+  } else {
+    found->second.unfinished = std::move(unfinished);
+  }
   on_update(*update);
 }
 
--- a/tests/lost_relay_test.cc
+++ b/tests/lost_relay_test.cc
@@ -264,6 +264,44 @@
   BOOST_TEST(AnswerIsConsistent());
 }
 
+// An update that names a shard that the relay doesn't hold is no result of this
+// batch: its merged records can't be told apart. It ended the process.
+BOOST_AUTO_TEST_CASE(AnUpdateOfShardsThatTheRelayDoesNotHoldIsDropped) {
+  const std::vector<relay_update> invalid = {
+      {.parts = {{.shard = kShardsPerDomain, .signature = "x"}}},
+      {.failed = {kShardsPerDomain}},
+      {.not_sent = {0xFFFFFFFF}},
+      {.parts = {{.shard = 0, .signature = "x"}}, .failed = {0}},
+      {.failed = {0, 0}},
+      {.parts = {{.shard = 3, .signature = "x"}},
+       .records = RecordOf("x"),
+       .not_sent = {3}}};
+  for (const relay_update& update : invalid) {
+    fixture test;
+    test.Answer(test.relay_b, 1);
+    test.Update(test.relay_b, update);
+    // The batch counts as lost.
+    BOOST_TEST(test.sender.sent.size() == kShardsPerDomain - 1);
+    test.AnswerAllSends();
+    test.AnswerAll(test.relay_c);
+    BOOST_REQUIRE(test.exchange->answer.has_value());
+    BOOST_TEST(test.AnsweredShards().size() == test.shards.size());
+    BOOST_TEST(test.AnswerIsConsistent());
+  }
+}
+
+// A relay that answers a shard after it has returned it.
+BOOST_FIXTURE_TEST_CASE(AShardThatARelayHadReturnedIsNotTakenFromIt, fixture) {
+  Return(relay_b, 0);
+  Update(relay_b,
+         {.parts = {{.shard = 0, .signature = "x"}}, .records = RecordOf("x")});
+  AnswerAllSends();
+  AnswerAll(relay_c);
+  BOOST_REQUIRE(exchange->answer.has_value());
+  BOOST_TEST(AnsweredShards().size() == shards.size());
+  BOOST_TEST(AnswerIsConsistent());
+}
+
 // A call that was replaced was also not cancelled with its request.
 BOOST_FIXTURE_TEST_CASE(ACallerThatLeavesAfterTheLossCancelsEverySend,
                         fixture) {
