Log replies that the HTTP library drops, and why

The HTTP server neither looked at how libmicrohttpd ended a request nor took its messages.

Change: http/reply_lost for a reply that was queued and not sent because of an error, http/library_error with the library's text. No behaviour changes.

--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -7,9 +7,13 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <cerrno>
+#include <cstdarg>
+#include <cstdio>
 #include <utility>
 
+#include "basilhoist/ops/event_line.h"
 #include "http_server_exchange.h"
 
 namespace basilhoist {
@@ -52,6 +56,16 @@
          1;
 }
 
+// Logs a message of libmicrohttpd, which has the form of printf.
+void LogLibraryError(void*, const char* format, va_list arguments) {
+  std::array<char, 256> text{};
+  static_cast<void>(
+      std::vsnprintf(text.data(), text.size(), format, arguments));
+  std::string_view message(text.data());
+  while (message.ends_with('\n')) message.remove_suffix(1);
+  event_line("http", "library_error").With("text", message);
+}
+
 }  // namespace
 
 // libmicrohttpd restarts its timeout with each byte received, so it would never
@@ -94,10 +108,11 @@
 }
 
 void http_server::state::OnCompleted(void*, MHD_Connection* from, void** slot,
-                                     MHD_RequestTerminationCode) {
+                                     MHD_RequestTerminationCode code) {
   connection::Of(from).waiting_since = Now();
   auto* finished = static_cast<exchange_ptr*>(*slot);
   if (finished == nullptr) return;
+  if (code == MHD_REQUEST_TERMINATED_WITH_ERROR) (*finished)->LogLostReply();
   (*finished)->Detach();
   delete finished;
   *slot = nullptr;
@@ -129,9 +144,11 @@
                                      std::move(handler))) {
   const int fd = BindSocket(state_->options.address, state_->options.port);
   if (fd < 0) return;
-  const unsigned flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
+  const unsigned flags =
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG;
   state_->daemon = MHD_start_daemon(
       flags, 0, nullptr, nullptr, &state::OnAccess, state_.get(),
+      MHD_OPTION_EXTERNAL_LOGGER, &LogLibraryError, nullptr,
       MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_CONNECTION_LIMIT,
       state_->options.max_connections * kHardLimitFactor,
       MHD_OPTION_CONNECTION_TIMEOUT,
--- a/src/http/http_server_exchange.cc
+++ b/src/http/http_server_exchange.cc
@@ -9,6 +9,8 @@
 #include <cstdlib>
 #include <utility>
 
+#include "basilhoist/ops/event_line.h"
+
 namespace basilhoist {
 namespace {
 
@@ -16,6 +18,8 @@
 // While bytes of a pipelined request are unread, the event loop gets no event
 // for a closed connection, so the socket is polled with this period.
 constexpr milliseconds kPeekPeriod{200};
+// Maximum length of a request target in a log line.
+constexpr std::size_t kMaxLoggedTarget = 128;
 
 void QueueReply(MHD_Connection* connection, const http_reply& reply) {
   MHD_Response* response = MHD_create_response_from_buffer(
@@ -131,6 +135,15 @@
   QueueReply(connection_, reply_);
 }
 
+void http_server::state::exchange::LogLostReply() const {
+  if (!replied_) return;
+  event_line("http", "reply_lost")
+      .With("target", target_.substr(0, kMaxLoggedTarget))
+      .With("status", reply_.status)
+      .With("headers", reply_.headers.size())
+      .With("body_bytes", reply_.body.size());
+}
+
 void http_server::state::exchange::Detach() {
   connection_ = nullptr;
   caller_watch_.Set(-1, false, false);
--- a/src/http/http_server_exchange.h
+++ b/src/http/http_server_exchange.h
@@ -61,6 +61,9 @@
   /// Passes the reply to libmicrohttpd for sending.
   void QueueStoredReply();
 
+  /// Logs that the reply, if there is one, did not reach the caller.
+  void LogLostReply() const;
+
   /// Stops the use of the connection, which libmicrohttpd may free afterwards.
   /// Reports a caller that closed before its reply.
   void Detach();
