--- a/include/basilhoist/http/http_server.h
+++ b/include/basilhoist/http/http_server.h
@@ -26,6 +26,9 @@
   std::uint16_t port = 0;
   unsigned max_connections = 1000;
   std::size_t max_body_bytes = 1U << 20U;
+  /// Memory for connections that stay open between requests. While more are
+  /// open than it suffices for, each is closed after its reply.
+  std::size_t max_idle_connection_memory = 96U << 20U;
   milliseconds body_timeout{
       5000};  ///< From the request line to the body's end.
   caller_timeouts timeouts;
@@ -35,9 +38,18 @@
 };
 
 /// Listens on one address and port, and passes each complete request to the
-/// handler.
+/// handler. A request is passed on only if there is memory for the head of its
+/// reply; otherwise it is rejected with 431.
 class http_server {
  public:
+  /// A request with up to this many header fields, query arguments and cookies
+  /// together is accepted, unless its head has more than 128 KB or its cookies
+  /// have more than 5 KB.
+  static constexpr std::size_t kMaxFields = 900;
+  /// Maximum size of the head of a reply, in bytes. A reply with a larger head
+  /// is replaced by an error reply.
+  static constexpr std::size_t kMaxReplyHeadBytes = 66U << 10U;
+
   http_server(event_loop& loop, http_server_options options,
               http_handler handler);
   ~http_server();
--- a/src/http/http_server_exchange.cc
+++ b/src/http/http_server_exchange.cc
@@ -3,10 +3,13 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <strings.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstdlib>
+#include <cstring>
 #include <utility>
 
 #include "basilhoist/ops/event_line.h"
@@ -14,13 +17,28 @@
 namespace basilhoist {
 namespace {
 
+constexpr int kHttpHeadersTooLarge = 431;
 constexpr int kHttpBadGateway = 502;
 // While bytes of a pipelined request are unread, the event loop gets no event
 // for a closed connection, so the socket is polled with this period.
 constexpr milliseconds kPeekPeriod{200};
+// Bytes of a header field besides its name and value: ": " and CRLF.
+constexpr std::size_t kFieldOverhead = 4;
+// Upper bound of the status line and the fields that libmicrohttpd adds to each
+// reply, in bytes.
+constexpr std::size_t kOwnReplyLines = 512;
 // Maximum length of a request target in a log line.
 constexpr std::size_t kMaxLoggedTarget = 128;
 
+// Bytes of the head, with the lines that libmicrohttpd adds.
+std::size_t HeadBytes(const http_reply& reply) {
+  std::size_t bytes = kOwnReplyLines + reply.content_type.size();
+  for (const http_header& header : reply.headers) {
+    bytes += header.name.size() + header.value.size() + kFieldOverhead;
+  }
+  return bytes;
+}
+
 void QueueReply(MHD_Connection* connection, const http_reply& reply) {
   MHD_Response* response = MHD_create_response_from_buffer(
       reply.body.size(), const_cast<char*>(reply.body.data()),
@@ -124,12 +142,44 @@
     Reject(413, "The body is larger than this server takes.");
   } else if (server_.connections.size() > server_.options.max_connections) {
     Reject(503, "Too many connections are open.");
+  } else if (!HasRoomForReply()) {
+    Reject(kHttpHeadersTooLarge, "The request has too many header fields.");
   }
   return replied_;
 }
 
+bool http_server::state::exchange::HasRoomForReply() const {
+  struct request_memory {
+    std::size_t head = 0;
+    std::size_t other = 0;
+  } memory{.head = target_.size()};
+  const auto add = [](void* output, MHD_ValueKind kind, const char* name,
+                      const char* value) {
+    auto& sum = *static_cast<request_memory*>(output);
+    sum.other += kEntryMemory;
+    if (kind != MHD_HEADER_KIND) return MHD_YES;
+    const std::size_t value_bytes = value == nullptr ? 0 : strlen(value);
+    sum.head += strlen(name) + value_bytes + kFieldOverhead;
+    if (strcasecmp(name, MHD_HTTP_HEADER_COOKIE) == 0) sum.other += value_bytes;
+    return MHD_YES;
+  };
+  const auto kinds = static_cast<MHD_ValueKind>(
+      MHD_HEADER_KIND | MHD_COOKIE_KIND | MHD_GET_ARGUMENT_KIND);
+  MHD_get_connection_values(connection_, kinds, add, &memory);
+  return std::max(memory.head, kReadBuffer) + memory.other +
+             kMaxReplyHeadBytes <=
+         kConnectionMemory;
+}
+
 void http_server::state::exchange::QueueStoredReply() {
-  if (server_.close_after_replies) {
+  if (HeadBytes(reply_) > kMaxReplyHeadBytes) {
+    event_line("http", "reply_too_large")
+        .With("target", target_.substr(0, kMaxLoggedTarget))
+        .With("status", reply_.status)
+        .With("head_bytes", HeadBytes(reply_));
+    reply_ = ErrorReply(kHttpBadGateway, "The answer's headers are too large.");
+  }
+  if (server_.ClosesAfterReplies()) {
     reply_.headers.push_back({.name = "Connection", .value = "close"});
   }
   QueueReply(connection_, reply_);
@@ -204,12 +254,16 @@
   return value == nullptr ? std::string() : std::string(value);
 }
 
-void http_server::state::exchange::Reject(int status, std::string_view text) {
+http_reply http_server::state::exchange::ErrorReply(
+    int status, std::string_view text) const {
   if (server_.options.make_error_reply) {
-    Reply(server_.options.make_error_reply(status, text));
-  } else {
-    Reply({.status = status, .body = std::string(text)});
+    return server_.options.make_error_reply(status, text);
   }
+  return {.status = status, .body = std::string(text)};
+}
+
+void http_server::state::exchange::Reject(int status, std::string_view text) {
+  Reply(ErrorReply(status, text));
 }
 
 void http_server::state::exchange::Handle(
--- a/src/http/http_server_exchange.h
+++ b/src/http/http_server_exchange.h
@@ -54,7 +54,8 @@
                       size_t* size);
 
   /// Rejects a request whose headers are sufficient for it: a declared body
-  /// that is too large, or too many open connections.
+  /// that is too large, too many open connections, or too little memory for the
+  /// head of its reply.
   /// @return whether the request was rejected
   bool RejectFromHeaders();
 
@@ -69,6 +70,9 @@
   void Detach();
 
  private:
+  /// Returns whether the largest head of a reply fits into the memory that the
+  /// request leaves.
+  [[nodiscard]] bool HasRoomForReply() const;
   [[nodiscard]] int Socket() const;
   void WatchCaller();
   void PeekAtCaller();
@@ -76,6 +80,7 @@
   void HandleCallerClosed();
   void NotifyCallerClosed();
   std::string Lookup(MHD_ValueKind kind, const char* name) const;
+  [[nodiscard]] http_reply ErrorReply(int status, std::string_view text) const;
   void Reject(int status, std::string_view text);
   void Handle(const std::shared_ptr<exchange>& self);
 
--- a/src/http/http_server_state.h
+++ b/src/http/http_server_state.h
@@ -11,6 +11,17 @@
 
 namespace basilhoist {
 
+/// Memory of libmicrohttpd for one connection, in bytes. It holds what was
+/// received, an entry for each header field, argument and cookie, a copy of the
+/// cookies, and the head of the reply. If the head of the reply does not fit,
+/// the library closes the connection without a reply.
+constexpr std::size_t kConnectionMemory = 256U << 10U;
+/// The library reads into half of this memory. Pipelined requests may fill it
+/// until the reply is sent.
+constexpr std::size_t kReadBuffer = kConnectionMemory / 2;
+/// Memory of an entry, in bytes.
+constexpr std::size_t kEntryMemory = 64;
+
 /// State of a server, shared with the callbacks of libmicrohttpd.
 struct http_server::state {
   class exchange;
@@ -38,6 +49,12 @@
         handler(std::move(the_handler)),
         epoll_watch(the_loop, [this](bool, bool) { Run(); }) {}
 
+  /// @return whether connections are closed after their replies
+  [[nodiscard]] bool ClosesAfterReplies() const {
+    return close_after_replies || connections.size() * kConnectionMemory >
+                                      options.max_idle_connection_memory;
+  }
+
   /// Closes connections whose next request is overdue, and repeats this
   /// periodically.
   void CloseOverdue();
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -3,10 +3,14 @@
 #include "basilhoist/http/http_server.h"
 
 #include <arpa/inet.h>
+#include <rapidcheck/boost_test.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <boost/test/unit_test.hpp>
+#include <cerrno>
+#include <memory>
 
 #include "free_port.h"
 
@@ -42,6 +46,20 @@
     fd_ = -1;
   }
 
+  // Sends and receives what is possible without waiting. Returns whether the
+  // server has closed the connection.
+  bool Transfer(std::string& unsent, std::string& received) const {
+    if (!unsent.empty()) {
+      const auto sent =
+          send(fd_, unsent.data(), unsent.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+      if (sent > 0) unsent.erase(0, static_cast<std::size_t>(sent));
+    }
+    std::array<char, 65536> bytes{};
+    const auto count = recv(fd_, bytes.data(), bytes.size(), MSG_DONTWAIT);
+    if (count > 0) received.append(bytes.data(), static_cast<size_t>(count));
+    return count == 0 || (count < 0 && errno != EAGAIN);
+  }
+
  private:
   int fd_;
 };
@@ -199,5 +217,148 @@
   BOOST_TEST(received.empty());
 }
 
+// What callers and backend servers choose of a request and its reply.
+struct exchange_shape {
+  int fields = 0;
+  int field_bytes = 4;  // with ": " and CRLF
+  int arguments = 0;
+  int cookies = 0;
+  int pipelined_bytes = 0;
+  int reply_head_bytes = 0;
+};
+
+std::string RequestOf(const exchange_shape& shape) {
+  std::string bytes = "GET /a?";
+  for (int i = 0; i < shape.arguments; ++i) bytes += "a=1&";
+  bytes += " HTTP/1.1\r\nHost: h\r\n";
+  const std::string field =
+      "a:" + std::string(shape.field_bytes - 4, 'v') + "\r\n";
+  for (int i = 0; i < shape.fields; ++i) bytes += field;
+  if (shape.cookies > 0) {
+    bytes += "Cookie: a=1";
+    for (int i = 1; i < shape.cookies; ++i) bytes += "; a=1";
+    bytes += "\r\n";
+  }
+  bytes += "\r\n";
+  if (shape.pipelined_bytes > 0) {
+    bytes += "GET /next HTTP/1.1\r\nHost: h\r\nX: ";
+    bytes += std::string(shape.pipelined_bytes, 'p');
+  }
+  return bytes;
+}
+
+// Sends a request to a server that replies to all, and returns what its caller
+// receives: the status, or 0 if the connection is closed without a reply.
+struct large_heads_fixture {
+  event_loop loop;
+  std::uint16_t port = test::FreePort();
+  int handled = 0;
+  http_reply reply;
+  http_server server{loop,
+                     {.address = "127.0.0.1", .port = port},
+                     [this](const std::shared_ptr<http_exchange>& exchange) {
+                       ++handled;
+                       exchange->Reply(reply);
+                     }};
+
+  int StatusOf(const exchange_shape& shape) {
+    constexpr std::size_t kFieldBytes = 1000;
+    reply = {.content_type = {}, .body = "whole"};
+    for (int left = shape.reply_head_bytes; left > 0; left -= kFieldBytes) {
+      reply.headers.push_back(
+          {.name = "X-B", .value = std::string(kFieldBytes - 7, 'z')});
+    }
+    return Ask(RequestOf(shape));
+  }
+
+  // The limit of 5 s allows for a busy host.
+  int Ask(std::string request) {
+    const caller one(port);
+    std::string received;
+    const instant deadline = Now() + std::chrono::seconds(5);
+    while (Now() < deadline) {
+      const bool closed = one.Transfer(request, received);
+      const bool answered = received.find("\r\n\r\n") != std::string::npos;
+      if (closed || answered) break;
+      loop.After(microseconds(200), [this] { loop.Stop(); });
+      loop.Run();
+    }
+    const bool whole = received.find("\r\n\r\n") != std::string::npos;
+    return whole ? std::stoi(received.substr(9, 3)) : 0;
+  }
+};
+
+// Guards against requests that run and whose caller gets no answer: the entries
+// of their header fields left no memory for the head of the reply.
+BOOST_FIXTURE_TEST_CASE(RequestsWithManyHeaderFieldsAreAnswered,
+                        large_heads_fixture) {
+  for (const int fields : {200, 250, 268, 300, 500, 900}) {
+    for (const int reply_head : {0, 1000, 2000, 16000, 64000}) {
+      const int status = StatusOf({.fields = fields,
+                                   .field_bytes = 16384 / fields - 1,
+                                   .reply_head_bytes = reply_head});
+      BOOST_TEST(status == 200, "fields " << fields << ", reply head "
+                                          << reply_head << ": " << status);
+    }
+  }
+}
+
+// Whatever the caller sends: a request that is handled gets its reply, and one
+// that is not gets a refusal.
+RC_BOOST_PROP(EveryHandledRequestIsAnswered, ()) {
+  large_heads_fixture test;
+  const exchange_shape shape{
+      .fields = *rc::gen::inRange(0, 1500),
+      .field_bytes = *rc::gen::inRange(4, 80),
+      .arguments = *rc::gen::element(0, 0, 10, 400, 900),
+      .cookies = *rc::gen::element(0, 0, 10, 400, 900),
+      .pipelined_bytes = *rc::gen::element(0, 0, 1000, 60000, 140000, 300000),
+      .reply_head_bytes = *rc::gen::inRange(0, 64) * 1000};
+  const int status = test.StatusOf(shape);
+  if (test.handled > 0) {
+    RC_ASSERT(status == 200);
+  } else {
+    RC_ASSERT(status == 431 || status == 413 || status == 414);
+  }
+  const int entries = shape.fields + shape.arguments + shape.cookies;
+  if (entries <= static_cast<int>(http_server::kMaxFields) - 2) {
+    RC_ASSERT(test.handled > 0);
+  }
+}
+
+// Guards against connections whose memory, which is used in full from the
+// second request on, adds up to more than the process may use.
+BOOST_AUTO_TEST_CASE(ConnectionsBeyondTheMemoryAreClosedAfterTheirReplies) {
+  event_loop loop;
+  const std::uint16_t port = test::FreePort();
+  http_server server{loop,
+                     {.port = port, .max_idle_connection_memory = 600U << 10U},
+                     [](const std::shared_ptr<http_exchange>& exchange) {
+                       exchange->Reply({.body = "x"});
+                     }};
+  std::vector<std::unique_ptr<caller>> callers;
+  std::vector<bool> closed;
+  for (int i = 0; i < 4; ++i) {
+    callers.push_back(std::make_unique<caller>(port));
+    callers.back()->Send(kRequest);
+    loop.After(milliseconds(30), [&loop] { loop.Stop(); });
+    loop.Run();
+    const std::string reply = callers.back()->Receive();
+    BOOST_TEST(reply.ends_with("x"));
+    closed.push_back(reply.find("Connection: close") != std::string::npos);
+  }
+  BOOST_TEST(closed == (std::vector<bool>{false, false, true, true}));
+  BOOST_TEST(server.Connections() == 2U);
+}
+
+// The largest head that a backend server's reply may have is passed on; beyond
+// it the caller still gets an answer.
+BOOST_FIXTURE_TEST_CASE(AReplyWithALargerHeadIsReplacedByAnError,
+                        large_heads_fixture) {
+  BOOST_TEST(StatusOf({.reply_head_bytes = 64000}) == 200);
+  BOOST_TEST(StatusOf({.reply_head_bytes = 70000}) == 502);
+  BOOST_TEST(StatusOf({.reply_head_bytes = 400000}) == 502);
+}
+
 }  // namespace
 }  // namespace basilhoist
