A reply with a status that the HTTP library refuses becomes a 502

Cause: MHD_queue_response refuses statuses below 100 and above 999; its result was not looked at, so the connection was closed without an answer and nobody was told. A server's "HTTP/1.1 042" did it. A reply with 101 went out as such, for a request that asked for no other protocol.

Ruled out: taking such a reply for a broken one in reply_check: the request has run, and other sources of replies (peers) would pass it on all the same.

Change: a reply that can't be sent, for its status (200 to 999) or its head, is replaced by a 502 in one place, logged as http/reply_replaced.

Test: http_server_test, AReplyThatTheLibraryRefusesIsReplacedByAnError, red before for 6 of 6 statuses (0, 42, 99, 1000, -1: no answer; 101: passed on).

--- a/include/basilhoist/http/http_server.h
+++ b/include/basilhoist/http/http_server.h
@@ -46,8 +46,9 @@
   /// together is accepted, unless its head has more than 128 KB or its cookies
   /// have more than 5 KB.
   static constexpr std::size_t kMaxFields = 900;
-  /// Maximum size of the head of a reply, in bytes. A reply with a larger head
-  /// is replaced by an error reply.
+  /// Maximum size of the head of a reply, in bytes. A reply with a larger head,
+  /// or with a status that is not from 200 to 999, is replaced by an error
+  /// reply.
   static constexpr std::size_t kMaxReplyHeadBytes = 66U << 10U;
 
   http_server(event_loop& loop, http_server_options options,
--- a/src/http/http_server_exchange.cc
+++ b/src/http/http_server_exchange.cc
@@ -17,6 +17,8 @@
 namespace basilhoist {
 namespace {
 
+constexpr int kMinFinalStatus = 200;
+constexpr int kMaxStatus = 999;
 constexpr int kHttpHeadersTooLarge = 431;
 constexpr int kHttpBadGateway = 502;
 // While bytes of a pipelined request are unread, the event loop gets no event
@@ -39,6 +41,13 @@
   return bytes;
 }
 
+// Returns whether libmicrohttpd can send the reply. It refuses statuses out of
+// range without telling the caller, and an interim status ends no request.
+bool CanBeSent(const http_reply& reply) {
+  return reply.status >= kMinFinalStatus && reply.status <= kMaxStatus &&
+         HeadBytes(reply) <= http_server::kMaxReplyHeadBytes;
+}
+
 void QueueReply(MHD_Connection* connection, const http_reply& reply) {
   MHD_Response* response = MHD_create_response_from_buffer(
       reply.body.size(), const_cast<char*>(reply.body.data()),
@@ -172,12 +181,12 @@
 }
 
 void http_server::state::exchange::QueueStoredReply() {
-  if (HeadBytes(reply_) > kMaxReplyHeadBytes) {
-    event_line("http", "reply_too_large")
+  if (!CanBeSent(reply_)) {
+    event_line("http", "reply_replaced")
         .With("target", target_.substr(0, kMaxLoggedTarget))
         .With("status", reply_.status)
         .With("head_bytes", HeadBytes(reply_));
-    reply_ = ErrorReply(kHttpBadGateway, "The answer's headers are too large.");
+    reply_ = ErrorReply(kHttpBadGateway, "The answer can't be sent.");
   }
   if (server_.ClosesAfterReplies()) {
     reply_.headers.push_back({.name = "Connection", .value = "close"});
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -326,6 +326,15 @@
   }
 }
 
+// The library refuses such a status; nobody was told and the caller waited.
+BOOST_FIXTURE_TEST_CASE(AReplyThatTheLibraryRefusesIsReplacedByAnError,
+                        large_heads_fixture) {
+  for (const int status : {0, 42, 99, 101, 1000, -1}) {
+    reply = {.status = status, .body = "x"};
+    BOOST_TEST(Ask("GET / HTTP/1.1\r\nHost: h\r\n\r\n") == 502);
+  }
+}
+
 // Guards against connections whose memory, which is used in full from the
 // second request on, adds up to more than the process may use.
 BOOST_AUTO_TEST_CASE(ConnectionsBeyondTheMemoryAreClosedAfterTheirReplies) {
