--- a/scripts/platform_rig.py
+++ b/scripts/platform_rig.py
@@ -178,6 +178,7 @@
         if not url.path.startswith(OBJECTS):
             return 404, {}
         kind, _, name = url.path[len(OBJECTS):].partition("/")
+        name = urllib.parse.unquote(name)
         objects = self.kinds.setdefault(kind, {})
         if method == "GET" and "watch" in query:
             return await self._watch(kind, int(query["watch"]),
--- a/src/store/plain_dialect.cc
+++ b/src/store/plain_dialect.cc
@@ -1,5 +1,7 @@
 #include "basilhoist/store/plain_dialect.h"
 
+#include "basilhoist/http/url_escape.h"
+
 namespace basilhoist {
 namespace {
 
@@ -13,7 +15,7 @@
   std::string ListTarget(std::string_view kind,
                          const page_request& page) const override {
     std::string target = KindTarget(kind);
-    if (!page.after.empty()) target += "?after=" + page.after;
+    if (!page.after.empty()) target += "?after=" + EscapeForUrl(page.after);
     return target;
   }
 
@@ -26,7 +28,7 @@
 
   std::string ObjectTarget(std::string_view kind,
                            std::string_view name) const override {
-    return KindTarget(kind) + "/" + std::string(name);
+    return KindTarget(kind) + "/" + EscapeForUrl(name);
   }
 
   std::string KindTarget(std::string_view kind) const override {
