Entries of servers whose names fit in no header are left out

Cause: the name of an entry is sent to its server in a header of each request, as it is. CR and LF in a name would add headers or a second request (any other writer of the store could do so), NUL would cut it, whitespace at its ends is dropped on the way, so that the server answers 421.

--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -178,6 +178,23 @@
   BOOST_TEST(decoder->Servers(Snapshot("i-1", "[1]")).empty());
 }
 
+// The name of an entry becomes a header of the requests to its server. A line
+// break in it would add headers, or a second request.
+BOOST_AUTO_TEST_CASE(NamesThatFitInNoHeaderAreIgnored) {
+  const auto decoder = platform::MakeBinding().decoder;
+  const std::string good =
+      R"({"service": "s", "address": "10.0.0.1:80", "zone": "z", "slots": 2,
+          "state": "ready"})";
+  using std::string_literals::operator""s;
+  for (const std::string& name :
+       {"a\r\nX: 1"s, "a\nb"s, "a\0b"s, "a\x7f"s, " a"s, "a "s, "\ta"s, ""s}) {
+    BOOST_TEST(decoder->Servers(Snapshot(name, good)).empty(), name);
+  }
+  for (const std::string& name : {"a b"s, "a%0d?#/&"s, "\xc3\xa4"s}) {
+    BOOST_TEST(decoder->Servers(Snapshot(name, good)).size() == 1U, name);
+  }
+}
+
 // Other programs write to the store as well. One entry that cannot be read must
 // not hide the others of its page, nor end the process.
 BOOST_AUTO_TEST_CASE(OneUnreadableEntryDoesNotHideTheOthers) {
