Entries without a readable name no longer end a listing

Cause: a name of bytes that are no UTF-8 is repaired to an empty one. As the last of a page it was the cursor of the next one, which so was the first page again: an endless listing without a delay.

Ruled out: to give up a page after some failures and go on without it: a store that is away for a moment would leave a router with a part of the servers.

--- a/src/knowledge/feed_state.cc
+++ b/src/knowledge/feed_state.cc
@@ -4,6 +4,18 @@
 #include <utility>
 
 namespace basilhoist {
+namespace {
+
+// Returns the last name of a page, with which the next page is asked for; empty
+// if no object of the page has a readable name.
+std::string LastName(const object_page& page) {
+  for (auto each = page.objects.rbegin(); each != page.objects.rend(); ++each) {
+    if (!each->name.empty()) return each->name;
+  }
+  return {};
+}
+
+}  // namespace
 
 feed_step feed_state::Next() const {
   feed_step step{.delay = batch_delay_};
@@ -51,10 +63,21 @@
   // changes made while the other pages were read.
   if (after_.empty()) pages_ = {.revision = page.revision, .era = page.era};
   pages_.revision = std::min(pages_.revision, page.revision);
-  for (const object& each : page.objects) pages_.objects[each.name] = each;
-  if (page.has_more && !page.objects.empty()) {
-    after_ = page.objects.back().name;
-    return false;
+  for (const object& each : page.objects) {
+    if (!each.name.empty()) pages_.objects[each.name] = each;
+  }
+  if (page.has_more) {
+    const std::string last = LastName(page);
+    if (!last.empty() && last != after_) {
+      after_ = last;
+      return false;
+    }
+    // The next page cannot be asked for. Without a snapshot, the pages so far
+    // are better than nothing.
+    if (has_snapshot_) {
+      OnFailure(now);
+      return false;
+    }
   }
   listing_ = false;
   after_.clear();
@@ -113,6 +136,7 @@
 
 void feed_state::ApplyEvent(const object_event& event) {
   const std::string& name = event.changed.name;
+  if (name.empty()) return;  // not readable
   if (!event.deleted) {
     const auto held = snapshot_.objects.find(name);
     if (!beliefs_.AcceptsChange(event.changed, held == snapshot_.objects.end()
--- a/tests/feed_state_test.cc
+++ b/tests/feed_state_test.cc
@@ -91,6 +91,41 @@
   }
 }
 
+// Guards against a listing that begins anew for ever, without a delay, because
+// the last entry of a page has no name that could be asked for.
+BOOST_AUTO_TEST_CASE(APageThatEndsWithAnUnnamedEntryIsContinued) {
+  feed_state feed;
+  feed.OnPage(call_outcome::kOk,
+              {.objects = {{.name = "a"}, {.name = "b"}, {.name = ""}},
+               .has_more = true,
+               .revision = 7},
+              kStart);
+  BOOST_TEST(feed.Next().after == "b");
+  feed.OnPage(call_outcome::kOk,
+              {.objects = {{.name = ""}, {.name = "d"}}, .revision = 7},
+              kStart);
+  BOOST_REQUIRE(feed.HasSnapshot());
+  BOOST_TEST(feed.Snapshot().objects.size() == 3U);
+  BOOST_TEST(!feed.Snapshot().objects.contains(""));
+}
+
+BOOST_AUTO_TEST_CASE(AListingThatDoesNotAdvanceIsDelayedOrEnds) {
+  const object_page unnamed{
+      .objects = {{.name = ""}}, .has_more = true, .revision = 7};
+  feed_state starting;
+  starting.OnPage(call_outcome::kOk, unnamed, kStart);
+  // What can be read is better than nothing.
+  BOOST_TEST(starting.HasSnapshot());
+  feed_state running;
+  running.OnPage(call_outcome::kOk,
+                 {.objects = {{.name = "a"}, {.name = "b"}}, .revision = 7},
+                 kStart);
+  running.OnEvents(call_outcome::kHistoryGone, {}, kStart);
+  running.OnPage(call_outcome::kOk, unnamed, kStart);
+  BOOST_TEST(running.Snapshot().objects.size() == 2U);
+  BOOST_TEST((running.Next().delay > milliseconds(0)));
+}
+
 RC_BOOST_PROP(RevisionNeverDecreasesAndSnapshotBecomesComplete, ()) {
   fake_store store;
   feed_state feed;
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -244,6 +244,20 @@
   }
 }
 
+// An unreadable name is read as an empty one.
+BOOST_AUTO_TEST_CASE(AnUnreadableNameDoesNotHideTheOtherEntries) {
+  const auto wire = platform::MakeBinding().dialect;
+  const auto page = wire->DecodePage(
+      "{\"items\": [{\"meta\": {\"name\": \"a\"}}, "
+      "{\"meta\": {\"name\": \"b\xff\"}}, {\"meta\": {\"name\": 5}}, "
+      "{\"meta\": null}, 7], \"hasMore\": true, \"currentRev\": 530}");
+  BOOST_REQUIRE(page);
+  BOOST_TEST(page->objects.at(0).name == "a");
+  for (std::size_t i = 1; i < page->objects.size(); ++i) {
+    BOOST_TEST(page->objects[i].name == "");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(StoreResponsesAreDecodedOrRejected) {
   const auto wire = platform::MakeBinding().dialect;
   BOOST_TEST(wire->WatchTarget("servers", 530, milliseconds(20000)) ==
