--- a/include/basilhoist/http/http_server.h
+++ b/include/basilhoist/http/http_server.h
@@ -82,6 +82,10 @@
   /// @return the number of open connections
   [[nodiscard]] unsigned Connections() const;
 
+  /// @return the number of replies that the operating system has not taken yet
+  ///   as a whole, because their callers read slowly
+  [[nodiscard]] std::size_t UnsentReplies() const;
+
  private:
   struct state;
   std::unique_ptr<state> state_;
--- a/include/basilhoist/link/frame_link.h
+++ b/include/basilhoist/link/frame_link.h
@@ -49,6 +49,9 @@
 
   [[nodiscard]] bool IsOpen() const;
 
+  /// @return whether the operating system has not taken all sent frames yet
+  [[nodiscard]] bool HasUnsentBytes() const;
+
  private:
   struct state;
   std::unique_ptr<state> state_;
--- a/include/basilhoist/relay/relay_links.h
+++ b/include/basilhoist/relay/relay_links.h
@@ -46,6 +46,10 @@
   /// Closes the link to a relay without calling on_relay_disconnected.
   void Disconnect(const endpoint& relay);
 
+  /// @return the number of links to instances that use this one as a relay and
+  ///   have not received all results yet
+  [[nodiscard]] std::size_t LinksWithUnsentResults() const;
+
  private:
   std::shared_ptr<frame_link> Connect(const endpoint& relay);
   void Accept(const std::shared_ptr<frame_link>& link);
--- a/include/basilhoist/router/stop_policy.h
+++ b/include/basilhoist/router/stop_policy.h
@@ -23,9 +23,8 @@
   /// The load balancer probes readiness every second and removes a router after
   /// two failed probes. Until then it may still open connections.
   static constexpr milliseconds kBalancerLag{3000};
-  /// The router exits after this time without a request in flight: an answer
-  /// that was handed to the HTTP server needs up to this long to be sent, and a
-  /// request in transit up to this long to arrive.
+  /// The router exits after this time without a request in flight: a request in
+  /// transit needs up to this long to arrive.
   static constexpr milliseconds kIdleBeforeExit{250};
   /// Requests in flight expire this long before the grace period ends, so that
   /// their answers are still sent.
@@ -46,7 +45,7 @@
     return requested_at_ + grace_period_ - kExpireMargin;
   }
 
-  /// @param in_flight number of requests that are not answered
+  /// @param in_flight number of requests whose answer is not sent as a whole
   stop_step Next(std::size_t in_flight, instant now);
 
  private:
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -204,4 +204,8 @@
   return static_cast<unsigned>(state_->connections.size());
 }
 
+std::size_t http_server::UnsentReplies() const {
+  return state_->unsent_replies;
+}
+
 }  // namespace basilhoist
--- a/src/http/http_server_exchange.cc
+++ b/src/http/http_server_exchange.cc
@@ -105,6 +105,7 @@
 void http_server::state::exchange::Reply(http_reply reply) {
   if (replied_ || connection_ == nullptr) return;
   replied_ = true;
+  ++server_.unsent_replies;
   on_caller_closed_ = nullptr;
   reply_ = std::move(reply);
   if (!suspended_) return;
@@ -205,6 +206,7 @@
 
 void http_server::state::exchange::Detach() {
   connection_ = nullptr;
+  if (replied_) --server_.unsent_replies;
   caller_watch_.Set(-1, false, false);
   server_.loop.Cancel(peek_timer_);
   NotifyCallerClosed();
--- a/src/http/http_server_state.h
+++ b/src/http/http_server_state.h
@@ -37,6 +37,7 @@
   timer_id overdue_timer = 0;
   bool run_posted = false;
   std::set<connection*> connections;
+  std::size_t unsent_replies = 0;
   bool close_after_replies = false;
   bool quiesced = false;
   /// Requests whose connection is suspended until the reply is available.
--- a/src/link/frame_link.cc
+++ b/src/link/frame_link.cc
@@ -197,6 +197,10 @@
 
 bool frame_link::IsOpen() const { return state_->fd >= 0; }
 
+bool frame_link::HasUnsentBytes() const {
+  return IsOpen() && !state_->output.empty();
+}
+
 void DropUnsentBytes(int fd) {
   const linger reset_on_close{.l_onoff = 1, .l_linger = 0};
   setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset_on_close, sizeof reset_on_close);
--- a/src/relay/relay_links.cc
+++ b/src/relay/relay_links.cc
@@ -1,5 +1,6 @@
 #include "basilhoist/relay/relay_links.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace basilhoist {
@@ -30,6 +31,12 @@
   outgoing_.erase(found);
 }
 
+std::size_t relay_links::LinksWithUnsentResults() const {
+  return static_cast<std::size_t>(
+      std::count_if(incoming_.begin(), incoming_.end(),
+                    [](const auto& link) { return link->HasUnsentBytes(); }));
+}
+
 std::shared_ptr<frame_link> relay_links::Connect(const endpoint& relay) {
   const int fd = ConnectSocket({}, relay);
   if (fd < 0) return nullptr;
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -232,8 +232,11 @@
     outbound_relays.SetPeers(std::move(peers));
   }
 
+  // Requests and batches without an answer, and answers that callers and peers
+  // still read.
   [[nodiscard]] std::size_t InFlight() const {
-    return requests.InFlight() + inbound_relays.InFlight();
+    return requests.InFlight() + inbound_relays.InFlight() +
+           caller_server.UnsentReplies() + links.LinksWithUnsentResults();
   }
 
   void OnInstances(const instance_share& update) {
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -124,6 +124,37 @@
   BOOST_TEST(server.Connections() == 0U);
 }
 
+// Guards against a planned stop that cuts answers which callers still read.
+BOOST_FIXTURE_TEST_CASE(AReplyIsUnsentUntilItsCallerHasReadIt, fixture) {
+  constexpr std::size_t kMoreThanBuffers = 16U << 20U;
+  const caller slow(port);
+  slow.Send(kRequest);
+  RunFor(30);
+  BOOST_TEST(server.UnsentReplies() == 0U);
+  received.at(0)->Reply({.body = std::string(kMoreThanBuffers, 'x')});
+  RunFor(100);
+  BOOST_TEST(server.UnsentReplies() == 1U);
+  std::string unsent;
+  std::string bytes;
+  while (bytes.size() < kMoreThanBuffers && !slow.Transfer(unsent, bytes)) {
+    RunFor(1);
+  }
+  BOOST_TEST(bytes.size() > kMoreThanBuffers);
+  RunFor(30);
+  BOOST_TEST(server.UnsentReplies() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(ACallerThatLeavesLeavesNoUnsentReply, fixture) {
+  caller one(port);
+  one.Send(kRequest);
+  RunFor(30);
+  received.at(0)->Reply({.body = std::string(16U << 20U, 'x')});
+  RunFor(100);
+  one.Close();
+  RunFor(100);
+  BOOST_TEST(server.UnsentReplies() == 0U);
+}
+
 BOOST_FIXTURE_TEST_CASE(DoesNotReportCloseAfterReply, fixture) {
   caller one(port);
   SendRequestFrom(one);
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -291,6 +291,37 @@
   BOOST_TEST(delivered < kBodyBytes);
 }
 
+// Guards against a planned stop that cuts results which a peer still reads.
+BOOST_FIXTURE_TEST_CASE(ResultsAreUnsentUntilThePeerHasReadThem, fixture) {
+  constexpr std::size_t kMoreThanBuffers = 12U << 20U;
+  const endpoint address = FreeEndpoint();
+  relay_links links{
+      loop,
+      address,
+      {.on_request =
+           [&](const auto& link, frame_kind, std::string_view) {
+             link->Send(frame_kind::kHandoverReply,
+                        std::string(kMoreThanBuffers, 'x'));
+           },
+       .on_sender_disconnected = [](const frame_link*) {},
+       .on_reply = [](const endpoint&, frame_kind, std::string_view) {},
+       .on_relay_disconnected = [](const endpoint&) {}}};
+  const int peer = ConnectSocket({}, address);
+  RunFor(20);
+  BOOST_TEST(links.LinksWithUnsentResults() == 0U);
+  const std::string empty_frame(5, '\0');
+  BOOST_REQUIRE(send(peer, empty_frame.data(), empty_frame.size(), 0) == 5);
+  RunFor(100);
+  BOOST_TEST(links.LinksWithUnsentResults() == 1U);
+  std::vector<char> chunk(1U << 20U);
+  RunUntil([&] {
+    while (recv(peer, chunk.data(), chunk.size(), 0) > 0) {
+    }
+    return links.LinksWithUnsentResults() == 0;
+  });
+  close(peer);
+}
+
 // A relay that resumes after a freeze sends results of batches that are lost by
 // then and whose shards were sent directly. Accepting these results would count
 // records twice.
