The log says why a reply is garbled and how long it was

Cause: call/send_failed names "garbled" for every reply that is rejected, so a head that is too long, a body that is too long, a lack of memory and a reply to another request look alike. A router that runs out of memory because of replies leaves nothing that tells these apart.

Change: message_fault names the reason; reply_reader and backend_connection state it, with the bytes received, and call/send_failed prints both (reply_fault, reply_bytes).

--- a/include/basilhoist/backend/backend_reply.h
+++ b/include/basilhoist/backend/backend_reply.h
@@ -1,12 +1,14 @@
 // Result of one request to one backend server.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "basilhoist/http/http_server.h"
+#include "basilhoist/http/message_fault.h"
 
 namespace basilhoist {
 
@@ -29,6 +31,10 @@
   exchange_error error = exchange_error::kNone;
   /// Whether any byte of the request may have reached the server.
   bool sent = false;
+  /// Why the reply is kGarbled.
+  message_fault fault = message_fault::kNone;
+  /// Size of what was received for this request, interim replies included.
+  std::size_t received_bytes = 0;
   int status = 0;
   std::vector<http_header> headers;
   std::string body;
--- a/include/basilhoist/backend/reply_reader.h
+++ b/include/basilhoist/backend/reply_reader.h
@@ -50,6 +50,12 @@
   ///   reply belongs to another request, else kIncomplete
   read_state End();
 
+  /// @return why the bytes are no reply to this request, after kInvalid
+  [[nodiscard]] message_fault Fault() const;
+
+  /// @return number of bytes received so far, interim replies included
+  [[nodiscard]] std::size_t ReceivedBytes() const;
+
   /// @return bytes of memory that the incomplete reply occupies
   [[nodiscard]] std::size_t Buffered() const;
 
--- a/src/backend/backend_connection.cc
+++ b/src/backend/backend_connection.cc
@@ -40,6 +40,7 @@
   instant usable_until;
   byte_budget& reply_budget;
   std::size_t buffered = 0;  // size of the reply as counted in the budget
+  bool over_budget = false;  // the reply was rejected for lack of memory
 
   state(event_loop& the_loop, std::function<void()> closed, byte_budget& budget)
       : loop(the_loop),
@@ -158,9 +159,9 @@
   read_state Consume(std::string_view bytes) {
     const read_state progress = reader->Consume(bytes);
     if (progress != read_state::kIncomplete) return progress;
-    return reply_budget.Resize(buffered, reader->Buffered())
-               ? progress
-               : read_state::kInvalid;
+    if (reply_budget.Resize(buffered, reader->Buffered())) return progress;
+    over_budget = true;
+    return read_state::kInvalid;
   }
 
   void HandleProgress(read_state progress) {
@@ -202,12 +203,21 @@
   // Closes the connection and reports the error to the request in flight.
   void Fail(exchange_error error) {
     if (current_phase == phase::kClosed) return;
+    backend_reply reply = FailedReply(error);
     Shutdown();
     loop.Post(on_closed);
     if (!busy) return;
     busy = false;
     auto handler = std::move(done);
-    handler({.error = error, .sent = sent});
+    handler(std::move(reply));
+  }
+
+  [[nodiscard]] backend_reply FailedReply(exchange_error error) const {
+    backend_reply reply{.error = error, .sent = sent};
+    if (!reader) return reply;
+    reply.fault = over_budget ? message_fault::kNoMemory : reader->Fault();
+    reply.received_bytes = reader->ReceivedBytes();
+    return reply;
   }
 
   void Shutdown() {
--- a/src/backend/reply_reader.cc
+++ b/src/backend/reply_reader.cc
@@ -28,6 +28,8 @@
   std::string input;
   std::optional<std::string> keep_alive;
   int interim_count = 0;
+  message_fault fault = message_fault::kNone;
+  std::size_t received_bytes = 0;
 
   // Starts the parser for the next interim or final reply.
   void ResetParser() {
@@ -52,13 +54,27 @@
            message.count(http::field::transfer_encoding) == 0;
   }
 
+  read_state Reject(message_fault why) {
+    fault = why;
+    return read_state::kInvalid;
+  }
+
+  static message_fault FaultOf(const boost::system::error_code& error) {
+    if (error == http::error::header_limit) return message_fault::kHeadTooLarge;
+    if (error == http::error::body_limit) return message_fault::kBodyTooLarge;
+    if (error == http::error::bad_version) {
+      return message_fault::kUnsupportedVersion;
+    }
+    return message_fault::kMalformed;
+  }
+
   // Rejects a reply to another request and stores the Keep-Alive header.
   read_state Finish() {
     const auto& message = parser->get();
     const auto echo = message.find(expected.echo_header);
     if (!expected.echo_header.empty() && echo != message.end() &&
         echo->value() != expected.echo_value) {
-      return read_state::kInvalid;
+      return Reject(message_fault::kOtherRequest);
     }
     const auto idle = message.find(http::field::keep_alive);
     if (idle != message.end()) keep_alive = std::string(idle->value());
@@ -76,6 +92,7 @@
 
 read_state reply_reader::Consume(std::string_view bytes) {
   state& self = *state_;
+  self.received_bytes += bytes.size();
   self.input += bytes;
   while (!self.input.empty()) {
     boost::system::error_code error;
@@ -83,13 +100,13 @@
         self.parser->put(boost::asio::buffer(self.input), error);
     self.input.erase(0, consumed);
     if (self.parser->is_header_done() && !self.HasValidHead()) {
-      return read_state::kInvalid;
+      return self.Reject(message_fault::kInvalidStatus);
     }
     if (error == http::error::need_more) {
       if (consumed == 0) return read_state::kIncomplete;
       continue;
     }
-    if (error) return read_state::kInvalid;
+    if (error) return self.Reject(state::FaultOf(error));
     if (!self.parser->is_done()) {
       if (consumed == 0) return read_state::kIncomplete;
       continue;
@@ -97,12 +114,20 @@
     if (IsFinalStatus(static_cast<int>(self.parser->get().result_int()))) {
       return self.Finish();
     }
-    if (++self.interim_count > kMaxInterimReplies) return read_state::kInvalid;
+    if (++self.interim_count > kMaxInterimReplies) {
+      return self.Reject(message_fault::kTooManyInterimReplies);
+    }
     self.ResetParser();
   }
   return read_state::kIncomplete;
 }
 
+message_fault reply_reader::Fault() const { return state_->fault; }
+
+std::size_t reply_reader::ReceivedBytes() const {
+  return state_->received_bytes;
+}
+
 std::size_t reply_reader::Buffered() const {
   // Capacity is counted, since a string that grows by appending occupies up to
   // twice its size.
@@ -121,6 +146,7 @@
 backend_reply reply_reader::Release() {
   auto message = state_->parser->release();
   backend_reply reply{.sent = true,
+                      .received_bytes = state_->received_bytes,
                       .status = static_cast<int>(message.result_int())};
   for (const auto& field : message) {
     reply.headers.push_back({.name = std::string(field.name_string()),
--- a/src/dispatch/service_call.cc
+++ b/src/dispatch/service_call.cc
@@ -357,6 +357,8 @@
       .With("server", ended.server->info.id)
       .With("outcome", Name(outcome))
       .With("fault", Name(reply.error))
+      .With("reply_fault", Name(reply.fault))
+      .With("reply_bytes", reply.received_bytes)
       .With("status", reply.status)
       .With("fingerprint", request_->identity.exact)
       .With("path_fingerprint", request_->identity.path)
