Trailer fields of a reply are limited in the HTTP client too

Cause: the limits on a reply were those on its body here and on its head in libcurl (7.88), which drops its limit for the lines behind the last chunk and keeps each of them for its header API.

Change: header lines of a call, those of interim replies and trailer fields included, are counted against http_call::max_head_bytes (64 KB); a call above it fails as one without a reply.

Test, red before: http_client_test AReplyWithoutAnEndEndsTheCall, trailer fields: grew by 1,947 MB and ended only at the call's timeout. Fields, one field, interim replies and a body without end passed before.

--- a/include/basilhoist/http/http_client.h
+++ b/include/basilhoist/http/http_client.h
@@ -21,6 +21,9 @@
   milliseconds timeout{1000};  ///< For the whole call, connecting included.
   /// The call fails if the reply body is longer.
   std::size_t max_reply_bytes = 16U << 20U;
+  /// The call fails if the header lines of the reply are longer, those of
+  /// interim replies and trailer fields included.
+  std::size_t max_head_bytes = 64U << 10U;
   std::string local_address;  ///< Source IP address; empty for any.
   /// Called when the connection is established, just before the first byte of
   /// the request is sent. If it returns false, the call fails and nothing is
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -32,6 +32,7 @@
   http_call call;
   http_callback done;
   std::string body;
+  std::size_t head_bytes = 0;  // interim replies and trailer fields included
   CURLcode code = CURLE_OK;
   bool sent = false;
 
@@ -70,6 +71,14 @@
   return size * count;
 }
 
+// Counts a header line. libcurl limits the lines of a head, but keeps trailer
+// fields without a limit. Returning 0 makes it fail the transfer.
+size_t OnHeaderLine(char*, size_t size, size_t count, void* self) {
+  auto& current = *static_cast<transfer*>(self);
+  current.head_bytes += size * count;
+  return current.head_bytes > current.call.max_head_bytes ? 0 : size * count;
+}
+
 int OnSocketCreated(void*, curl_socket_t fd, curlsocktype) {
   const int on = 1;
   setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
@@ -242,6 +251,8 @@
                    static_cast<long>(request.timeout.count()));
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, current.get());
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeaderLine);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, current.get());
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnBeforeSend);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, current.get());
   curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &OnSocketCreated);
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -3,12 +3,16 @@
 #include "basilhoist/http/http_client.h"
 
 #include <arpa/inet.h>
+#include <malloc.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <string>
 #include <thread>
+#include <vector>
 
 #include "scripted_server.h"
 
@@ -19,6 +23,12 @@
 using basilhoist::http_result;
 using basilhoist::milliseconds;
 
+constexpr milliseconds kCallTimeout{2000};
+constexpr std::size_t kMaxReplyBytes = 1U << 20U;
+// What a server without an end sends at a time.
+constexpr std::size_t kPourBytes = 64U << 10U;
+// Memory of a call: its reply, twice while the buffer grows, and its head.
+constexpr std::size_t kMaxGrowth = 4 * kMaxReplyBytes;
 constexpr std::string_view kReply =
     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
@@ -82,6 +92,11 @@
   std::thread thread_;
 };
 
+std::size_t AllocatedBytes() {
+  const struct mallinfo2 info = mallinfo2();
+  return info.uordblks + info.hblkhd;
+}
+
 struct outcome {
   bool has_reply = false;
   bool sent = false;
@@ -92,7 +107,8 @@
              bool may_send = true) {
   outcome observed;
   client.Start({.url = url,
-                .timeout = milliseconds(2000),
+                .timeout = kCallTimeout,
+                .max_reply_bytes = kMaxReplyBytes,
                 .may_send = [may_send] { return may_send; }},
                [&](http_result& result) {
                  observed = {result.HasReply(), result.Sent()};
@@ -143,3 +159,44 @@
     BOOST_TEST(observed.sent);
   }
 }
+
+// What the store, or a server of the first path, sends without end must not
+// fill the memory of the process until the call times out.
+BOOST_AUTO_TEST_CASE(AReplyWithoutAnEndEndsTheCall) {
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  struct endless_reply {
+    const char* name;
+    std::string start;
+    std::string repeated;
+  };
+  const std::vector<endless_reply> replies = {
+      {"fields", "HTTP/1.1 200 OK\r\n", "a:\r\n"},
+      {"a field", "HTTP/1.1 200 OK\r\na: ", "xxxx"},
+      {"interim replies", "", "HTTP/1.1 103 Early Hints\r\na: b\r\n\r\n"},
+      {"a body", "HTTP/1.1 200 OK\r\n\r\n", "xxxx"},
+      {"trailer fields", chunked + "0\r\n", "a:\r\n"}};
+  for (const endless_reply& reply : replies) {
+    const basilhoist::test::scripted_server server([&](auto& connection) {
+      connection.ReadRequest();
+      connection.Send(reply.start);
+      std::string many;
+      while (many.size() < kPourBytes) many += reply.repeated;
+      while (connection.Send(many)) {
+      }
+    });
+    event_loop loop;
+    http_client client(loop);
+    const std::size_t before = AllocatedBytes();
+    std::size_t most = 0;
+    loop.Every(milliseconds(1),
+               [&] { most = std::max(most, AllocatedBytes() - before); });
+    const auto began = basilhoist::Now();
+    const outcome observed =
+        Call(loop, client, "http://" + Format(server.Address()) + "/");
+    const auto took = basilhoist::Now() - began;
+    BOOST_TEST(!observed.has_reply, reply.name);
+    BOOST_TEST((took < kCallTimeout / 2), reply.name);
+    BOOST_TEST(most < kMaxGrowth, reply.name << " grew by " << most);
+  }
+}
--- a/tests/scripted_server.h
+++ b/tests/scripted_server.h
@@ -48,8 +48,9 @@
     }
   }
 
-  void Send(const std::string& bytes) {
-    static_cast<void>(send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL));
+  /// @return whether the peer still takes bytes
+  bool Send(const std::string& bytes) {
+    return send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL) >= 0;
   }
 
   /// Makes the close after the script send a TCP reset instead of an orderly
