--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -18,6 +18,7 @@
 import platform_rig
 import soak_checks
 import soak_clients
+import soak_pours
 import soak_rollout
 import soak_usage
 import soak_workspaces
@@ -31,7 +32,7 @@
          ("once", "/once/{}", "POST", 0.15, 2000))
 SETTLE_S = 6.0  # without faults, before the tier must be whole again
 FINAL_S = 2.0
-PARTS = (soak_usage, soak_rollout, soak_clients)
+PARTS = (soak_usage, soak_rollout, soak_clients, soak_pours)
 
 
 @dataclasses.dataclass
@@ -117,6 +118,7 @@
         self.workspaces.set_tenants()
         self.rollout = soak_rollout.Rollout(rig, seed)
         self.crowds = soak_clients.Crowds(rig, self.workspaces, seed)
+        self.pours = soak_pours.Pours(rig, seed)
         self.poison_target = self.random.choice(("/get/", "/all/")) + POISON
 
     # Load.
@@ -441,7 +443,7 @@
         for each in threads:
             each.start()
         until = time.monotonic() + self.seconds
-        for each in (self.rollout, self.surges, self.crowds):
+        for each in (self.rollout, self.surges, self.crowds, self.pours):
             each.next_at = time.monotonic() + each.first_delay
         pause = limit_at = 0.0
         copy_at = time.monotonic() + self.returns.uniform(1, 5)
@@ -451,6 +453,7 @@
             self.rollout.run_due(self)
             self.surges.run_due(self)
             self.crowds.run_due(self)
+            self.pours.run_due(self)
             self.rig.check_alive()
             if time.monotonic() >= limit_at:
                 self.name_limit()
