A peer's list takes memory only for what its frame holds

What would be seen: a frame of a faulty or foreign peer ends an instance by its memory.

Cause: a list was resized to the number of elements that the frame states, one for each byte that is left at most. An element of two strings takes 64 bytes of memory, so a frame of the maximum size, 16 MB, asked for 1 GB before its first element was read.

Change: elements are added as they are read.

Test, red before: codec_test AListTakesMemoryOnlyForWhatIsInTheFrame, a frame of 4 MB that states two million header fields: peak memory grew by 134 MB, bound 4.

--- a/src/link/codec.cc
+++ b/src/link/codec.cc
@@ -2,10 +2,10 @@
 
 #include <cereal/cereal.hpp>
 #include <cereal/types/string.hpp>
-#include <cereal/types/vector.hpp>
 #include <cstring>
 #include <exception>
 #include <type_traits>
+#include <vector>
 
 namespace basilhoist {
 namespace {
@@ -90,6 +90,24 @@
   archive.Read(data.data, static_cast<std::size_t>(data.size));
 }
 
+template <typename Element>
+void CEREAL_SAVE_FUNCTION_NAME(frame_output& archive,
+                               const std::vector<Element>& list) {
+  archive(cereal::make_size_tag(list.size()));
+  for (const Element& element : list) archive(element);
+}
+
+// Makes room for elements as they are read: in memory they may take many times
+// their size in the frame, and a frame may state more than it holds.
+template <typename Element>
+void CEREAL_LOAD_FUNCTION_NAME(frame_input& archive,
+                               std::vector<Element>& list) {
+  std::size_t size = 0;
+  archive(cereal::make_size_tag(size));
+  list.clear();
+  for (std::size_t i = 0; i < size; ++i) archive(list.emplace_back());
+}
+
 }  // namespace
 }  // namespace basilhoist
 
--- a/tests/codec_test.cc
+++ b/tests/codec_test.cc
@@ -3,8 +3,10 @@
 #include "basilhoist/link/codec.h"
 
 #include <rapidcheck/boost_test.h>
+#include <sys/resource.h>
 #include <xxhash.h>
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <cstring>
 #include <limits>
@@ -36,6 +38,12 @@
   return batch;
 }
 
+std::size_t PeakMemoryBytes() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  return static_cast<std::size_t>(usage.ru_maxrss) << 10U;
+}
+
 }  // namespace
 
 RC_BOOST_PROP(ABatchIsReadAsItWasWritten, ()) {
@@ -91,6 +99,25 @@
   }
 }
 
+// A list of elements that take 64 bytes of memory, stated to have one for each
+// byte of the frame, made room for all of them before the first was read.
+BOOST_AUTO_TEST_CASE(AListTakesMemoryOnlyForWhatIsInTheFrame) {
+  constexpr std::size_t kFrameBytes = 4U << 20U;
+  basilhoist::handover_request message;
+  message.headers.resize(1);
+  std::string bytes = Encode(message);
+  const std::string one = Encode(basilhoist::handover_request{});
+  const std::size_t count_at =
+      std::mismatch(bytes.begin(), bytes.end(), one.begin(), one.end()).first -
+      bytes.begin();
+  bytes.resize(kFrameBytes, '\xff');
+  const std::uint64_t stated = kFrameBytes / 2;
+  std::memcpy(bytes.data() + count_at, &stated, sizeof stated);
+  const std::size_t before = PeakMemoryBytes();
+  BOOST_TEST(!Decode<basilhoist::handover_request>(bytes).has_value());
+  BOOST_TEST(PeakMemoryBytes() - before < kFrameBytes);
+}
+
 BOOST_AUTO_TEST_CASE(RepliesKeepTheirLoads) {
   subreply_batch batch;
   batch.items.push_back({.id = 3, .shard = "s", .version = 2, .body = "b"});
