The soak's pours leave versions that are being judged alone

Cause: servers that pour bytes without end were chosen among all, those of a rollout's target version too; their garbled replies count against it, so that a good version was rolled back, rightly, and the check called it a breach. The other faults on servers leave such servers out.

Change: pours choose among the servers that the other faults choose from.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -189,14 +189,18 @@
             return None
         return self.random.choice(free)
 
+    def usable_servers(self):
+        """None of a version that is being judged, as faults count against
+        it."""
+        return [each for each in self.rig.backends.values()
+                if not each.crashed and each.state == "ready"
+                and (each.service != soak_rollout.SERVICE
+                     or each.version == self.rollout.version_in_use)]
+
     def pick_server(self):
         """Rather a server of the single service: there it can be told which
-        router sent a request. None of a version that is being judged, as
-        faults count against it."""
-        usable = [each for each in self.rig.backends.values()
-                  if not each.crashed and each.state == "ready"
-                  and (each.service != soak_rollout.SERVICE
-                       or each.version == self.rollout.version_in_use)]
+        router sent a request."""
+        usable = self.usable_servers()
         return self.random.choices(
             usable, [3 if each.service == "single" else 1
                      for each in usable])[0]
--- a/scripts/soak_pours.py
+++ b/scripts/soak_pours.py
@@ -25,9 +25,8 @@
         if time.monotonic() < self.next_at:
             return
         self.next_at = time.monotonic() + self.random.uniform(2, 5)
-        sound = sorted((each for each in self.rig.backends.values()
-                        if each.mode == "well" and not each.crashed),
-                       key=lambda each: each.id)
+        sound = sorted((each for each in soak.usable_servers()
+                        if each.mode == "well"), key=lambda each: each.id)
         chosen = self.random.sample(sound, min(len(sound), 3))
         mode = self.random.choice(MODES)
         span = self.random.uniform(0.5, 2)
