A leaving server has said so once its reply is written

Cause: the rig noted "said that it leaves" when a request arrived at the server; a send that its router abandons before the reply tells that router nothing, and the soak's check called the next request there a breach.

Change: noted as the reply is written, in each way in which a reply with that header is sent. As strict: every reply that was written counts, from its time on.

--- a/scripts/platform_rig.py
+++ b/scripts/platform_rig.py
@@ -256,6 +256,7 @@
     "endless_noise": (b"", b"\x00\xff" * 32768),
 }
 POUR_PERIOD_S = 0.004
+LEAVING = ("Server-Leaving", "1")
 
 # A request with this in its target ends each server that begins to run it.
 POISON = "poison"
@@ -438,8 +439,7 @@
         if self.rig.keeps_heads:
             self.heads[request_id] = headers
         if self.leaving:
-            echo.append(("Server-Leaving", "1"))
-            self.said_leaving.append((request_id, time.monotonic()))
+            echo.append(LEAVING)
         if self.limit is not None:
             echo.append(("Server-Limit", self.limit))
             self.said_limit.append((request_id, time.monotonic()))
@@ -449,11 +449,13 @@
                                         float(self.retry_after)))
             except ValueError:
                 pass  # a test of text that is no number
+            self._note_leaving(request_id, echo)
             writer.write(reply_bytes(503, headers=[
                 *echo, ("Basilhoist-Not-Executed", "1"),
                 ("Retry-After", self.retry_after)]))
             return True
         if self.mode == "shed" or self.running >= self.slots + self.queue:
+            self._note_leaving(request_id, echo)
             writer.write(reply_bytes(503, headers=[
                 *echo, ("Basilhoist-Not-Executed", "1")]))
             return True
@@ -475,6 +477,12 @@
             return await self._pour(writer, *ENDLESS[self.mode])
         return self._reply(writer, request_id, echo, target, body)
 
+    def _note_leaving(self, request_id, headers):
+        """Called as a reply is written: one that its router has abandoned
+        meanwhile tells nobody."""
+        if LEAVING in headers:
+            self.said_leaving.append((request_id, time.monotonic()))
+
     async def _copy(self, writer, whole):
         if not writer.is_closing():
             writer.write(whole)
@@ -509,6 +517,7 @@
         if self.mode == "reset":
             writer.transport.abort()
             return False
+        self._note_leaving(request_id, echo)
         if self.mode == "fail":
             writer.write(reply_bytes(500, b"broken", [*echo, proof]))
             return True
